--- /dev/null
+++ b/src/geraniumridge/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the daemon and the operators' tool."""
--- /dev/null
+++ b/src/geraniumridge/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the two programs."""
--- /dev/null
+++ b/src/geraniumridge/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' tool, one class each."""
--- /dev/null
+++ b/src/geraniumridge/_internal/commands/base.py
@@ -0,0 +1,143 @@
+"""What the operators' commands share."""
+
+import getpass
+import json
+import typing
+
+import cappa
+from rich import console
+from rich import table
+import trio
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.network import configstore
+from geraniumridge._internal.network import http
+from geraniumridge._internal.network import platform
+
+PLATFORM_TIMEOUT_S = 5.0
+
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+
+
+class Options(typing.NamedTuple):
+    """Options that every command takes."""
+
+    platform: str
+    author: str
+    secret: str
+    as_json: bool
+
+
+def fail(message, code=EXIT_FAILED):
+    """Return the exception that ends the tool with a message."""
+    return cappa.Exit(message, code=code)
+
+
+def run(function, options):
+    """Run a command's async function and map errors to exit codes.
+
+    Parameters
+    ----------
+    function : callable
+        Async function of a platform client.
+    options : Options
+        The common options.
+    """
+    try:
+        return trio.run(_call, function, options)
+    except exceptions.SettingsError as error:
+        raise fail(str(error), EXIT_BAD_INPUT)
+    except exceptions.ConflictError as error:
+        raise fail(str(error), EXIT_CONFLICT)
+    except (
+        exceptions.PlatformUnavailableError,
+        exceptions.NetworkError,
+    ) as error:
+        raise fail(str(error), EXIT_UNAVAILABLE)
+    except exceptions.GeraniumridgeError as error:
+        raise fail(str(error))
+
+
+async def _call(function, options):
+    client = platform.PlatformClient(options.platform, PLATFORM_TIMEOUT_S)
+    return await function(client)
+
+
+def get_author(options):
+    """Return who makes a change."""
+    return options.author or getpass.getuser()
+
+
+async def commit_edits(client, options, make_edits):
+    """Load the chain, make edits of its document and commit them.
+
+    Parameters
+    ----------
+    client : platform.PlatformClient
+        Where the chain is kept.
+    options : Options
+        The common options.
+    make_edits : callable
+        From `config.Document` to a list of `config.Edit`.
+
+    Returns
+    -------
+    int
+        The version that the edits became.
+    """
+    loaded = await configstore.load_chain(client)
+    edits = make_edits(loaded.document)
+    return await configstore.commit(client, loaded, get_author(options), edits)
+
+
+def print_rows(options, columns, rows):
+    """Print rows as a table, or as JSON objects."""
+    if options.as_json:
+        data = [dict(zip(columns, row)) for row in rows]
+        print(json.dumps(data, indent=2))
+        return
+    grid = table.Table(box=None, pad_edge=False)
+    for column in columns:
+        grid.add_column(column, overflow="fold")
+    for row in rows:
+        grid.add_row(*[format_cell(item) for item in row])
+    console.Console(soft_wrap=True).print(grid)
+
+
+def format_cell(item):
+    """Return a table cell's text."""
+    if isinstance(item, (dict, list)):
+        return json.dumps(item)
+    return str(item)
+
+
+def print_version(options, version):
+    """Tell which version a change became."""
+    if options.as_json:
+        print(json.dumps({"version": version}))
+    else:
+        print(f"accepted as version {version}")
+
+
+async def fetch_page(options, vm, page):
+    """Return an operators' page of one VM, None without an answer."""
+    headers = []
+    if options.secret:
+        headers.append(("Authorization", f"Bearer {options.secret}"))
+    try:
+        response = await http.fetch(vm.operators, "GET", page, headers=headers)
+    except exceptions.NetworkError:
+        return None
+    data = json.loads(response.body)
+    if response.status == 401:
+        raise exceptions.NetworkError(f"{vm.name}: {data['detail']}")
+    return data
+
+
+async def fetch_pages(options, client, page):
+    """Yield each listed VM with its page, None without an answer."""
+    for vm in await client.list_vms():
+        yield vm, await fetch_page(options, vm, page)
--- /dev/null
+++ b/src/geraniumridge/_internal/commands/service.py
@@ -0,0 +1,85 @@
+"""Commands that take domains and targets out and bring them back."""
+
+import dataclasses
+import typing
+
+import cappa
+
+from geraniumridge._internal.commands import base
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import config
+from geraniumridge._internal.network import configstore
+from geraniumridge._internal.utils import decode
+
+Direction = typing.Literal["out", "in"]
+
+
+@cappa.command(name="domains", help="Take failure domains out, or in.")
+@dataclasses.dataclass
+class Domains:
+    """Failure domains in and out of service."""
+
+    action: typing.Annotated[
+        typing.Literal["out", "in", "list", "add"],
+        cappa.Arg(help="What to do."),
+    ]
+    name: typing.Annotated[str, cappa.Arg(help="Name of the domain.")] = ""
+
+    def run(self, options):
+        """List, or commit the domain's state."""
+        if self.action == "list":
+            loaded = base.run(configstore.load_chain, options)
+            rows = [
+                [name, entry.in_service, entry.region]
+                for name, entry in loaded.document.domains.items()
+            ]
+            columns = ["domain", "in service", "region"]
+            base.print_rows(options, columns, rows)
+            return
+
+        async def commit(client):
+            return await base.commit_edits(client, options, self.make_edits)
+
+        base.print_version(options, base.run(commit, options))
+
+    def make_edits(self, document):
+        """Return the edit that sets the domain's state."""
+        entry = document.domains.get(self.name)
+        if self.action == "add":
+            entry = config.DomainEntry()
+        if entry is None:
+            raise exceptions.SettingsError(
+                "domains", [f"{self.name}: No such domain"]
+            )
+        entry = entry._replace(in_service=self.action != "out")
+        return [config.Edit("domains", self.name, decode.encode(entry))]
+
+
+@cappa.command(name="targets", help="Take targets out, or in.")
+@dataclasses.dataclass
+class Targets:
+    """Targets in and out of service."""
+
+    action: typing.Annotated[Direction, cappa.Arg(help="What to do.")]
+    name: typing.Annotated[str, cappa.Arg(help="GROUP/TARGET.")]
+
+    def run(self, options):
+        """Commit the target's state."""
+
+        async def commit(client):
+            return await base.commit_edits(client, options, self.make_edits)
+
+        base.print_version(options, base.run(commit, options))
+
+    def make_edits(self, document):
+        """Return the edit that sets the target's state."""
+        group, _, target = self.name.partition("/")
+        entry = document.groups.get(group)
+        if entry is None or target not in entry.targets:
+            raise exceptions.SettingsError(
+                "targets", [f"{self.name}: No such target (GROUP/TARGET)"]
+            )
+        item = entry.targets[target]
+        item = item._replace(in_service=self.action == "in")
+        entry = entry._replace(targets={**entry.targets, target: item})
+        return [config.Edit("groups", group, decode.encode(entry))]
--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Synchronous decision logic: no I/O, no clock of its own."""
--- /dev/null
+++ b/src/geraniumridge/_internal/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-in registry and life cycle of the daemon."""
--- /dev/null
+++ b/src/geraniumridge/_internal/kernel/kernel.py
@@ -0,0 +1,109 @@
+"""The kernel: builds the plug-ins, runs them, stops them in order."""
+
+import logging
+import signal
+
+import trio
+
+from geraniumridge._internal.kernel import registry
+
+logger = logging.getLogger(__name__)
+
+
+class Plugin:
+    """Base of the daemon's roles.
+
+    A plug-in finds the others through `kernel` only after all of them
+    were built, that is from `start` on.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        The kernel that runs it.
+    """
+
+    def __init__(self, kernel):
+        self._kernel = kernel
+        self._settings = kernel.settings
+
+    async def start(self, nursery):
+        """Open what the plug-in needs and start its tasks."""
+
+    async def drain(self):
+        """Finish the work in progress; called at a graceful stop."""
+
+
+class Kernel:
+    """Life cycle of one daemon.
+
+    Parameters
+    ----------
+    settings : models.settings.Settings
+        The daemon's settings.
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._stopping = trio.Event()
+        self._started = False
+        self._plugins = {
+            name: kind(self) for name, kind in registry.PLUGINS.items()
+        }
+
+    @property
+    def settings(self):
+        """The daemon's settings."""
+        return self._settings
+
+    @property
+    def is_stopping(self):
+        """Whether a graceful stop has begun."""
+        return self._stopping.is_set()
+
+    @property
+    def is_started(self):
+        """Whether every plug-in has started."""
+        return self._started
+
+    def get(self, name):
+        """Return the plug-in of a name."""
+        return self._plugins[name]
+
+    def stop(self):
+        """Begin a graceful stop."""
+        self._stopping.set()
+
+    async def wait_stopping(self):
+        """Wait until a graceful stop begins."""
+        await self._stopping.wait()
+
+    async def run(self):
+        """Run the plug-ins until a graceful stop has ended."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_signals)
+            for plugin in self._plugins.values():
+                await plugin.start(nursery)
+            self._started = True
+            logger.info("started", extra={"event": "started"})
+            await self._stopping.wait()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+        logger.info("stopped", extra={"event": "stopped"})
+
+    async def _drain(self):
+        logger.info("stopping", extra={"event": "stopping"})
+        with trio.move_on_after(self._settings.limits.stop_grace_s) as scope:
+            for plugin in reversed(self._plugins.values()):
+                await plugin.drain()
+        if scope.cancelled_caught:
+            logger.warning(
+                "grace period ended with work in progress",
+                extra={"event": "stop_timeout"},
+            )
+
+    async def _watch_signals(self):
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as received:
+            async for _ in received:
+                self.stop()
--- /dev/null
+++ b/src/geraniumridge/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings, configuration, requests and records."""
--- /dev/null
+++ b/src/geraniumridge/_internal/models/settings.py
@@ -0,0 +1,167 @@
+"""Settings of one daemon, read from a TOML file."""
+
+import pathlib
+import tomllib
+import typing
+
+import msgspec
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.utils import decode
+
+Name = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,127}$")
+]
+Address = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+$")]
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0)]
+Count = typing.Annotated[int, msgspec.Meta(gt=0)]
+
+
+class VmSettings(typing.NamedTuple):
+    """Identity of the VM."""
+
+    name: Name
+    domain: Name
+
+
+class ListenSettings(typing.NamedTuple):
+    """Addresses ``IP:port`` that the daemon listens on."""
+
+    callers: Address
+    peers: Address
+    operators: Address
+
+
+class PlatformSettings(typing.NamedTuple):
+    """How the platform's key-value service is reached."""
+
+    address: Address
+    timeout_s: Seconds = 1.0
+    watch_s: Seconds = 20.0
+
+
+class CellSettings(typing.NamedTuple):
+    """Membership within the failure domain.
+
+    `seeds` are peer addresses to try while the platform's list of VMs
+    cannot be read.
+    """
+
+    heartbeat_s: Seconds = 0.5
+    lease_s: Seconds = 2.0
+    exchange_s: Seconds = 0.5
+    seeds: tuple[Address, ...] = ()
+
+
+class LimitSettings(typing.NamedTuple):
+    """Bounds on what one caller or VM may hold."""
+
+    max_body_bytes: Count = 1_000_000
+    max_header_bytes: Count = 16_384
+    max_connections: Count = 4_000
+    request_timeout_s: Seconds = 10.0
+    idle_timeout_s: Seconds = 300.0
+    head_timeout_s: Seconds = 10.0
+    transaction_idle_s: Seconds = 5.0
+    transaction_total_s: Seconds = 30.0
+    queue_length: Count = 256
+    stop_grace_s: Seconds = 30.0
+    admission_wait_s: Seconds = 0.25
+    cut_off_s: Seconds = 5_400.0
+
+
+class AuthoritySettings(typing.NamedTuple):
+    """Evidence that no later term is in force, and failover times."""
+
+    evidence_ttl_s: Seconds = 4.0
+    read_every_s: Seconds = 1.0
+    suspect_target_s: Seconds = 2.0
+    suspect_gateway_s: Seconds = 6.0
+    probe_every_s: Seconds = 0.5
+
+
+class SecuritySettings(typing.NamedTuple):
+    """Shared secrets between daemons and towards operators."""
+
+    peer_secret: str = ""
+    operator_secret: str = ""
+
+
+class TlsSettings(typing.NamedTuple):
+    """Files in PEM form; peers must present a certificate too."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
+class LogSettings(typing.NamedTuple):
+    """What is logged."""
+
+    level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class Settings(typing.NamedTuple):
+    """All settings of one daemon."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    cell: CellSettings = CellSettings()
+    limits: LimitSettings = LimitSettings()
+    authority: AuthoritySettings = AuthoritySettings()
+    security: SecuritySettings = SecuritySettings()
+    tls: TlsSettings | None = None
+    log: LogSettings = LogSettings()
+
+
+def load_settings(path):
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str
+        Path of the TOML file.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    exceptions.SettingsError
+        Naming the file, each key and the reason.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.SettingsError(path, [f"cannot be read: {error}"])
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise exceptions.SettingsError(path, [f"not valid TOML: {error}"])
+    settings = decode.decode(Settings, data, path)
+    problems = list(_cross_check(settings))
+    if problems:
+        raise exceptions.SettingsError(path, problems)
+    return settings
+
+
+def _cross_check(settings):
+    if settings.cell.lease_s < 3 * settings.cell.heartbeat_s:
+        yield "cell.lease_s: Must be at least 3 x cell.heartbeat_s"
+    if settings.authority.evidence_ttl_s < 2 * settings.authority.read_every_s:
+        yield (
+            "authority.evidence_ttl_s: Must be at least"
+            " 2 x authority.read_every_s"
+        )
+    for key, value in settings.listen._asdict().items():
+        yield from _check_address(f"listen.{key}", value)
+    yield from _check_address("platform.address", settings.platform.address)
+
+
+def _check_address(key, value):
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        yield f"{key}: Expected IP:port, got {value!r}"
--- /dev/null
+++ b/src/geraniumridge/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Streams, HTTP, thrift and clients of outside systems."""
--- /dev/null
+++ b/src/geraniumridge/_internal/network/http.py
@@ -0,0 +1,337 @@
+"""HTTP/1.1 server and client on trio streams, by ``h11``."""
+
+import math
+import ssl
+import typing
+
+import h11
+import msgspec
+import trio
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.network import streams
+
+RECEIVE_BYTES = 65_536
+PROBLEM_TYPE = "https://geraniumridge.example/problems/"
+
+
+class Request(typing.NamedTuple):
+    """One complete request; header names are lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Response(typing.NamedTuple):
+    """One complete response."""
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
+    content_type: str = "application/json"
+
+
+def make_json_response(data, status=200, headers=()):
+    """Return a response with a JSON body."""
+    return Response(status, msgspec.json.encode(data), tuple(headers))
+
+
+def make_problem(error, request_id=""):
+    """Return the RFC 9457 problem document of a request error."""
+    data = {
+        "type": PROBLEM_TYPE + error.code,
+        "title": error.code.replace("-", " "),
+        "status": error.status,
+        "detail": error.detail,
+        "code": error.code,
+        "executed": error.executed,
+        "request_id": request_id,
+    }
+    headers = []
+    if error.retry_after_s is not None:
+        seconds = max(1, math.ceil(error.retry_after_s))
+        headers.append(("Retry-After", str(seconds)))
+    return Response(
+        error.status,
+        msgspec.json.encode(data),
+        tuple(headers),
+        "application/problem+json",
+    )
+
+
+class ServerLimits(typing.NamedTuple):
+    """Bounds on one server connection; times in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_000_000
+    head_timeout_s: float = 10.0
+    idle_timeout_s: float = 300.0
+    send_timeout_s: float = 10.0
+
+
+class ServerConnection:
+    """Serves the requests of one caller connection in turn.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The connection.
+    handler : callable
+        Async function from `Request` to `Response`.
+    limits : ServerLimits, optional
+        Bounds on size and time.
+    is_closing : callable, optional
+        Tells whether to close after the current request.
+    """
+
+    def __init__(
+        self, stream, handler, limits=ServerLimits(), is_closing=bool
+    ):
+        self._stream = stream
+        self._handler = handler
+        self._limits = limits
+        self._is_closing = is_closing
+        self._conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+        self._is_idle = True
+
+    @property
+    def is_idle(self):
+        """Whether no request has begun since the last response."""
+        return self._is_idle
+
+    async def run(self):
+        """Serve until the caller leaves or a limit is hit."""
+        try:
+            while await self._serve_one():
+                self._conn.start_next_cycle()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except (ssl.SSLError, trio.TooSlowError):
+            pass
+        finally:
+            with trio.move_on_after(1, shield=True):
+                await trio.aclose_forcefully(self._stream)
+
+    async def _serve_one(self):
+        self._is_idle = True
+        try:
+            request = await self._read_request()
+        except h11.RemoteProtocolError as error:
+            await self._refuse(error)
+            return False
+        except exceptions.RequestError as error:
+            await self._send(make_problem(error), close=True)
+            return False
+        if request is None:
+            return False
+        response = await self._handler(request)
+        close = self._is_closing()
+        await self._send(response, close)
+        return not close and self._conn.our_state is h11.DONE
+
+    async def _refuse(self, error):
+        if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        kind = exceptions.BadRequestError
+        if error.error_status_hint == 431:
+            kind = exceptions.TooLargeError
+        problem = make_problem(kind(f"malformed request: {error}"))
+        await self._send(problem, close=True)
+
+    async def _read_request(self):
+        head = await self._read_head()
+        if head is None:
+            return None
+        size = sum(len(name) + len(value) for name, value in head.headers)
+        if size > self._limits.max_header_bytes:
+            # The parser itself lets a head pass that came in one piece.
+            raise exceptions.TooLargeError(
+                f"header: larger than {self._limits.max_header_bytes} bytes"
+            )
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        with trio.fail_after(self._limits.head_timeout_s):
+            body = await self._read_body()
+        return Request(
+            head.method.decode(), head.target.decode(), headers, body
+        )
+
+    async def _read_head(self):
+        with trio.fail_after(self._limits.idle_timeout_s) as scope:
+            while True:
+                event = self._conn.next_event()
+                if event is h11.NEED_DATA:
+                    data = await self._receive()
+                    if self._is_idle and data:
+                        self._is_idle = False
+                        limit = self._limits.head_timeout_s
+                        scope.deadline = trio.current_time() + limit
+                    continue
+                if isinstance(event, h11.Request):
+                    self._is_idle = False
+                    return event
+                return None
+
+    async def _receive(self):
+        data = await self._stream.receive_some(RECEIVE_BYTES)
+        self._conn.receive_data(data)
+        return data
+
+    async def _read_body(self):
+        parts = []
+        size = 0
+        while True:
+            if self._conn.they_are_waiting_for_100_continue:
+                go = h11.InformationalResponse(status_code=100, headers=[])
+                await self._stream.send_all(self._conn.send(go))
+            event = self._conn.next_event()
+            if event is h11.NEED_DATA:
+                await self._receive()
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._limits.max_body_bytes:
+                    raise exceptions.TooLargeError(
+                        "body: larger than"
+                        f" {self._limits.max_body_bytes} bytes"
+                    )
+                parts.append(bytes(event.data))
+            else:
+                return b"".join(parts)
+
+    async def _send(self, response, close):
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+            *response.headers,
+        ]
+        if close:
+            headers.append(("Connection", "close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = self._conn.send(head)
+        data += self._conn.send(h11.Data(data=response.body))
+        data += self._conn.send(h11.EndOfMessage())
+        with trio.fail_after(self._limits.send_timeout_s):
+            await self._stream.send_all(data)
+
+
+class ClientConnection:
+    """One connection to an HTTP server, one request at a time.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The open connection.
+    host : str
+        Value of the Host header.
+    """
+
+    def __init__(self, stream, host):
+        self._stream = stream
+        self._host = host
+        self._conn = h11.Connection(h11.CLIENT)
+        self._is_usable = True
+
+    @property
+    def is_usable(self):
+        """Whether a further request can be sent."""
+        return self._is_usable
+
+    async def request(self, method, path, body=b"", headers=()):
+        """Send one request and return the whole response.
+
+        Raises
+        ------
+        exceptions.ConnectionLostError
+            If no whole answer came; the request may have arrived.
+        """
+        self._is_usable = False
+        try:
+            await self._send(method, path, body, headers)
+            response = await self._read_response()
+        except h11.RemoteProtocolError as error:
+            raise exceptions.ConnectionLostError(f"{self._host}: {error}")
+        except (OSError, trio.BrokenResourceError) as error:
+            raise exceptions.ConnectionLostError(f"{self._host}: {error}")
+        except trio.ClosedResourceError as error:
+            raise exceptions.ConnectionLostError(f"{self._host}: {error}")
+        if self._conn.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+            self._conn.start_next_cycle()
+            self._is_usable = True
+        return response
+
+    async def close(self):
+        """Close the connection at once."""
+        self._is_usable = False
+        await trio.aclose_forcefully(self._stream)
+
+    async def _send(self, method, path, body, headers):
+        head = h11.Request(
+            method=method,
+            target=path,
+            headers=[
+                ("Host", self._host),
+                ("Content-Length", str(len(body))),
+                *headers,
+            ],
+        )
+        data = self._conn.send(head)
+        if body:
+            data += self._conn.send(h11.Data(data=body))
+        data += self._conn.send(h11.EndOfMessage())
+        await self._stream.send_all(data)
+
+    async def _read_response(self):
+        status = 0
+        headers = ()
+        parts = []
+        while True:
+            event = self._conn.next_event()
+            if event is h11.NEED_DATA:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                self._conn.receive_data(data)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                headers = tuple(
+                    (name.decode(), value.decode())
+                    for name, value in event.headers
+                )
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return Response(status, b"".join(parts), headers)
+            else:
+                raise exceptions.ConnectionLostError(
+                    f"{self._host}: closed before the answer"
+                )
+
+
+async def open_client(address, tls=None, timeout_s=1.0):
+    """Open a client connection to ``IP:port``."""
+    stream = await streams.connect(address, tls, timeout_s)
+    return ClientConnection(stream, address)
+
+
+async def fetch(address, method, path, data=None, headers=(), timeout_s=1.0):
+    """Send one JSON request on a connection of its own.
+
+    Raises
+    ------
+    exceptions.NetworkError
+        If no answer came in time.
+    """
+    body = b"" if data is None else msgspec.json.encode(data)
+    try:
+        with trio.fail_after(timeout_s):
+            client = await open_client(address, timeout_s=timeout_s)
+            try:
+                return await client.request(method, path, body, headers)
+            finally:
+                await client.close()
+    except trio.TooSlowError:
+        raise exceptions.ConnectionLostError(f"{address}: timed out")
--- /dev/null
+++ b/src/geraniumridge/_internal/network/peers.py
@@ -0,0 +1,372 @@
+"""Calls between daemons: thrift frames with answers in any order.
+
+A frame is a header of payload length, call number and message type,
+then the thrift bytes. A call's answer carries the call's number.
+"""
+
+import hmac
+import logging
+import math
+import ssl
+import struct
+
+import trio
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.network import streams
+from geraniumridge._internal.network import wire
+
+logger = logging.getLogger(__name__)
+
+HEADER = struct.Struct("!IQB")
+MAX_FRAME_BYTES = 16_777_216
+RECEIVE_BYTES = 65_536
+SEND_TIMEOUT_S = 5.0
+MAX_CALLS_PER_LINK = 4_096
+
+_STREAM_ERRORS = (
+    OSError,
+    ssl.SSLError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+)
+
+
+class FrameStream:
+    """Reads and writes whole frames on a byte stream.
+
+    Frames are posted and one task writes them, so that a caller who
+    gives up never leaves half a frame on the connection.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self._buffer = bytearray()
+        self._posted = []
+        self._wake = trio.Event()
+        self._is_open = True
+
+    def post(self, number, message):
+        """Queue one message for writing.
+
+        Raises
+        ------
+        exceptions.NotSentError
+            If the connection is closed.
+        """
+        if not self._is_open:
+            raise exceptions.NotSentError("link closed")
+        kind = wire.get_number(type(message))
+        data = wire.encode(message)
+        self._posted.append(HEADER.pack(len(data), number, kind) + data)
+        self._wake.set()
+
+    async def run_writer(self):
+        """Write posted frames until the connection ends."""
+        try:
+            while self._is_open:
+                await self._wake.wait()
+                self._wake = trio.Event()
+                batch = b"".join(self._posted)
+                self._posted.clear()
+                with trio.fail_after(SEND_TIMEOUT_S):
+                    await self._stream.send_all(batch)
+        except _STREAM_ERRORS as error:
+            logger.debug("writer ended", extra={"reason": str(error)})
+        finally:
+            with trio.CancelScope(shield=True):
+                await self.close()
+
+    async def receive(self):
+        """Return the next frame as call number and message.
+
+        Raises
+        ------
+        exceptions.NetworkError
+            At the end of the connection.
+        """
+        length, number, kind = HEADER.unpack(await self._take(HEADER.size))
+        if length > MAX_FRAME_BYTES:
+            raise exceptions.ProtocolError(f"frame of {length} bytes")
+        return number, wire.decode(kind, await self._take(length))
+
+    async def close(self):
+        """Close the connection at once."""
+        self._is_open = False
+        self._wake.set()
+        await trio.aclose_forcefully(self._stream)
+
+    async def _take(self, size):
+        while len(self._buffer) < size:
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except _STREAM_ERRORS as error:
+                raise exceptions.NetworkError(f"receive: {error}")
+            if not data:
+                raise exceptions.NetworkError("closed by the other side")
+            self._buffer += data
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return taken
+
+
+class _Call:
+    """One call that waits for its answer."""
+
+    __slots__ = ("answer", "done")
+
+    def __init__(self):
+        self.answer = None
+        self.done = trio.Event()
+
+
+class PeerLink:
+    """Client side of one connection to a peer."""
+
+    def __init__(self, stream):
+        self._frames = FrameStream(stream)
+        self._calls = {}
+        self._next_number = 1
+        self._is_open = True
+
+    @property
+    def is_open(self):
+        """Whether calls can be made."""
+        return self._is_open
+
+    async def run(self):
+        """Write calls and receive answers until the connection ends."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._frames.run_writer)
+                try:
+                    await self._receive_answers()
+                finally:
+                    nursery.cancel_scope.cancel()
+        except* exceptions.NetworkError as error:
+            logger.debug("link ended", extra={"reason": str(error)})
+        finally:
+            self._is_open = False
+            for call in self._calls.values():
+                call.done.set()
+            self._calls.clear()
+            with trio.CancelScope(shield=True):
+                await self._frames.close()
+
+    async def _receive_answers(self):
+        while True:
+            number, message = await self._frames.receive()
+            call = self._calls.pop(number, None)
+            # A late answer belongs to a call that was given up.
+            if call is not None:
+                call.answer = message
+                call.done.set()
+
+    async def call(self, message):
+        """Send a message and return its answer.
+
+        Raises
+        ------
+        exceptions.NotSentError
+            If the link was closed before the call began.
+        exceptions.ConnectionLostError
+            If the call may have arrived but no answer came.
+        """
+        if not self._is_open:
+            raise exceptions.NotSentError("link closed")
+        number = self._next_number
+        self._next_number += 1
+        self._frames.post(number, message)
+        call = _Call()
+        self._calls[number] = call
+        try:
+            await call.done.wait()
+        finally:
+            self._calls.pop(number, None)
+        if call.answer is None:
+            raise exceptions.ConnectionLostError("link lost before answer")
+        return call.answer
+
+
+class PeerPool:
+    """Links to peers by address, opened on demand.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Runs the receiving tasks.
+    hello : wire message
+        Sent first on each link.
+    tls : ssl.SSLContext or None
+        Client context.
+    """
+
+    def __init__(self, nursery, hello, tls=None):
+        self._nursery = nursery
+        self._hello = hello
+        self._tls = tls
+        self._links = {}
+        self._locks = {}
+
+    async def call(self, address, message, timeout_s):
+        """Call a peer.
+
+        Parameters
+        ----------
+        address : str
+            The peer's ``IP:port``.
+        message : wire message
+            The call.
+        timeout_s : float
+            Bound on the call, in seconds.
+
+        Raises
+        ------
+        exceptions.NotSentError
+            If the call provably did not arrive.
+        exceptions.ConnectionLostError
+            If it may have arrived; no answer came.
+        exceptions.RequestError
+            The peer's own refusal.
+        """
+        sent = False
+        try:
+            with trio.fail_after(timeout_s):
+                link = await self._get_link(address)
+                sent = True
+                answer = await link.call(message)
+        except trio.TooSlowError:
+            kind = exceptions.ConnectionLostError
+            if not sent:
+                kind = exceptions.NotSentError
+            raise kind(f"{address}: no answer in {timeout_s:.3f} s")
+        if isinstance(answer, wire.messages.Failure):
+            raise decode_failure(answer)
+        return answer
+
+    async def _get_link(self, address):
+        link = self._links.get(address)
+        if link is not None and link.is_open:
+            return link
+        lock = self._locks.setdefault(address, trio.Lock())
+        async with lock:
+            link = self._links.get(address)
+            if link is None or not link.is_open:
+                link = await self._open_link(address)
+            return link
+
+    async def _open_link(self, address):
+        stream = await streams.connect(address, self._tls)
+        link = PeerLink(stream)
+        self._nursery.start_soon(link.run)
+        try:
+            await link.call(self._hello)
+        except exceptions.NetworkError as error:
+            raise exceptions.NotSentError(f"{address}: hello: {error}")
+        self._links[address] = link
+        return link
+
+
+class PeerServer:
+    """Answers the calls of peers.
+
+    Parameters
+    ----------
+    secret : str
+        What a peer's hello must carry.
+    """
+
+    def __init__(self, secret):
+        self._secret = secret
+        self._handlers = {}
+
+    def handle(self, kind, handler):
+        """Answer messages of a type by an async function."""
+        self._handlers[kind] = handler
+
+    async def serve(self, stream):
+        """Serve one connection until it ends."""
+        frames = FrameStream(stream)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(frames.run_writer)
+                try:
+                    await self._accept(frames)
+                    await self._serve_calls(frames, nursery)
+                finally:
+                    nursery.cancel_scope.cancel()
+        except* exceptions.NetworkError as error:
+            logger.debug("peer ended", extra={"reason": str(error)})
+        finally:
+            with trio.CancelScope(shield=True):
+                await frames.close()
+
+    async def _accept(self, frames):
+        with trio.move_on_after(SEND_TIMEOUT_S):
+            number, hello = await frames.receive()
+            known = isinstance(hello, wire.messages.Hello)
+            if known and hmac.compare_digest(
+                (hello.secret or "").encode(), self._secret.encode()
+            ):
+                frames.post(number, wire.messages.Empty())
+                return
+            logger.warning(
+                "peer refused: wrong secret", extra={"event": "peer_refused"}
+            )
+        raise exceptions.ProtocolError("peer did not authenticate")
+
+    async def _serve_calls(self, frames, nursery):
+        limit = trio.Semaphore(MAX_CALLS_PER_LINK)
+        while True:
+            number, message = await frames.receive()
+            await limit.acquire()
+            nursery.start_soon(self._answer, frames, number, message, limit)
+
+    async def _answer(self, frames, number, message, limit):
+        try:
+            answer = await self._run_handler(message)
+            frames.post(number, answer)
+        except exceptions.NetworkError as error:
+            logger.debug("answer lost", extra={"reason": str(error)})
+        finally:
+            limit.release()
+
+    async def _run_handler(self, message):
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            name = type(message).__name__
+            return encode_failure(exceptions.NotFoundError(f"call {name}"))
+        try:
+            return await handler(message)
+        except exceptions.RequestError as error:
+            return encode_failure(error)
+        except Exception:
+            logger.exception("call failed", extra={"event": "call_failed"})
+            return encode_failure(
+                exceptions.OutcomeUnknownError("internal error in a peer")
+            )
+
+
+def encode_failure(error):
+    """Return the wire form of a request error."""
+    return wire.messages.Failure(
+        code=error.code,
+        detail=error.detail,
+        executed=error.executed,
+        retry_after_s=(
+            math.nan if error.retry_after_s is None else error.retry_after_s
+        ),
+    )
+
+
+def decode_failure(failure):
+    """Return the request error of its wire form."""
+    kind = exceptions.REQUEST_ERRORS.get(
+        failure.code, exceptions.OutcomeUnknownError
+    )
+    error = kind(failure.detail)
+    error.executed = failure.executed
+    if not math.isnan(failure.retry_after_s):
+        error.retry_after_s = failure.retry_after_s
+    return error
--- /dev/null
+++ b/src/geraniumridge/_internal/network/platform.py
@@ -0,0 +1,140 @@
+"""Client of the platform's key-value service."""
+
+import typing
+import urllib.parse
+
+import msgspec
+import trio
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import records
+from geraniumridge._internal.network import http
+from geraniumridge._internal.utils import decode
+
+
+class Entry(typing.NamedTuple):
+    """One key's value; revision 0 means that the key is absent."""
+
+    value: typing.Any
+    revision: int
+
+
+class PlatformClient:
+    """Reads, compare-and-swaps and watches keys.
+
+    One connection carries the calls in turn and one more the watch.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the service.
+    timeout_s : float, optional
+        Bound on one call, in seconds.
+    """
+
+    def __init__(self, address, timeout_s=1.0):
+        self._address = address
+        self._timeout_s = timeout_s
+        self._client = None
+        self._lock = trio.Lock()
+
+    async def get(self, key):
+        """Return the entry of a key."""
+        response = await self._call("GET", _get_path(key))
+        return _read_entry(response)
+
+    async def put(self, key, value, expected_revision):
+        """Write a key if its revision is still the expected one.
+
+        Returns
+        -------
+        int
+            The new revision.
+
+        Raises
+        ------
+        exceptions.ConflictError
+            If another writer came first.
+        exceptions.PlatformUnavailableError
+            Without an answer; the write may have taken effect.
+        """
+        body = {"value": value, "expected_revision": expected_revision}
+        response = await self._call("PUT", _get_path(key), body)
+        if response.status == 409:
+            entry = msgspec.json.decode(response.body)
+            raise exceptions.ConflictError(
+                f"{key}: changed by another writer", entry.get("value")
+            )
+        return _read_entry(response).revision
+
+    async def watch(self, key, after_revision, wait_s):
+        """Wait until a key's revision differs, or the time is over.
+
+        The call uses a connection of its own.
+        """
+        path = _get_path(key)
+        path += f"?after={after_revision}&wait_s={wait_s}"
+        try:
+            response = await http.fetch(
+                self._address,
+                "GET",
+                path,
+                timeout_s=wait_s + self._timeout_s,
+            )
+        except exceptions.NetworkError as error:
+            raise exceptions.PlatformUnavailableError(f"platform: {error}")
+        return _read_entry(_check(response))
+
+    async def list_vms(self):
+        """Return the platform's list of VMs, which may lag."""
+        response = await self._call("GET", "/vms")
+        data = msgspec.json.decode(response.body)
+        return [
+            decode.decode(records.VmEntry, item, "platform list of VMs")
+            for item in data["vms"]
+        ]
+
+    async def _call(self, method, path, data=None):
+        body = b"" if data is None else msgspec.json.encode(data)
+        try:
+            with trio.fail_after(self._timeout_s):
+                async with self._lock:
+                    return _check(await self._send(method, path, body))
+        except (exceptions.NetworkError, trio.TooSlowError) as error:
+            raise exceptions.PlatformUnavailableError(f"platform: {error}")
+
+    async def _send(self, method, path, body):
+        client, self._client = self._client, None
+        if client is None:
+            client = await http.open_client(self._address)
+        try:
+            response = await client.request(method, path, body)
+        except BaseException:
+            with trio.CancelScope(shield=True):
+                await client.close()
+            raise
+        if client.is_usable:
+            self._client = client
+        else:
+            await client.close()
+        return response
+
+
+def _get_path(key):
+    return "/kv/" + urllib.parse.quote(key)
+
+
+def _check(response):
+    if response.status >= 500:
+        raise exceptions.PlatformUnavailableError(
+            f"platform: status {response.status}"
+        )
+    return response
+
+
+def _read_entry(response):
+    try:
+        data = msgspec.json.decode(response.body)
+        return Entry(data["value"], data["revision"])
+    except (msgspec.DecodeError, KeyError, TypeError) as error:
+        raise exceptions.PlatformError(f"platform: bad answer: {error}")
--- /dev/null
+++ b/src/geraniumridge/_internal/network/streams.py
@@ -0,0 +1,104 @@
+"""TCP streams, with TLS where the settings ask for it."""
+
+import ssl
+
+import trio
+
+from geraniumridge._internal import exceptions
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+def split_address(address):
+    """Split ``IP:port`` into the pair that sockets take."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def make_server_context(tls, require_peer):
+    """Return the server side's TLS context, or None without TLS.
+
+    Parameters
+    ----------
+    tls : models.settings.TlsSettings or None
+        Files of certificate, key and authority.
+    require_peer : bool
+        Whether clients must show a certificate of the authority.
+    """
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.key)
+    if require_peer:
+        context.load_verify_locations(tls.authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def make_client_context(tls):
+    """Return the client side's TLS context, or None without TLS."""
+    if tls is None:
+        return None
+    context = ssl.create_default_context(cafile=tls.authority)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
+
+
+async def connect(address, tls=None, timeout_s=CONNECT_TIMEOUT_S):
+    """Open a connection.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``.
+    tls : ssl.SSLContext, optional
+        Client context.
+    timeout_s : float, optional
+        Bound on the whole connect, in seconds.
+
+    Raises
+    ------
+    exceptions.NotSentError
+        If it could not be opened.
+    """
+    host, port = split_address(address)
+    try:
+        with trio.fail_after(timeout_s):
+            stream = await trio.open_tcp_stream(host, port)
+            if tls is None:
+                return stream
+            secured = trio.SSLStream(stream, tls, server_hostname=host)
+            await secured.do_handshake()
+            return secured
+    except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
+        raise exceptions.NotSentError(f"{address}: cannot connect: {error}")
+
+
+async def serve(nursery, address, handler, tls=None):
+    """Listen on an address and call the handler for each connection.
+
+    Returns
+    -------
+    trio.CancelScope
+        Cancel it to close the listener; open connections go on.
+    """
+    host, port = split_address(address)
+    try:
+        listeners = await trio.open_tcp_listeners(port, host=host)
+    except OSError as error:
+        raise exceptions.NetworkError(f"{address}: cannot listen: {error}")
+    if tls is not None:
+        listeners = [
+            trio.SSLListener(item, tls, https_compatible=True)
+            for item in listeners
+        ]
+    scope = trio.CancelScope()
+
+    async def accept_all():
+        with scope:
+            await trio.serve_listeners(
+                handler, listeners, handler_nursery=nursery
+            )
+
+    nursery.start_soon(accept_all)
+    return scope
--- /dev/null
+++ b/src/geraniumridge/_internal/plugins/__init__.py
@@ -0,0 +1,18 @@
+"""Roles of the daemon, registered with the kernel.
+
+Importing this package registers every plug-in. The order is the order
+of start; a graceful stop goes through it backwards.
+"""
+
+# isort: skip_file
+from geraniumridge._internal.plugins import metrics  # noqa: F401
+from geraniumridge._internal.plugins import peers  # noqa: F401
+from geraniumridge._internal.plugins import membership  # noqa: F401,H306
+from geraniumridge._internal.plugins import configuration  # noqa: F401,H306
+from geraniumridge._internal.plugins import terms  # noqa: F401
+from geraniumridge._internal.plugins import durability  # noqa: F401,H306
+from geraniumridge._internal.plugins import gateway  # noqa: F401,H306
+from geraniumridge._internal.plugins import failover  # noqa: F401,H306
+from geraniumridge._internal.plugins import entry  # noqa: F401,H306
+from geraniumridge._internal.plugins import front  # noqa: F401
+from geraniumridge._internal.plugins import operators  # noqa: F401
--- /dev/null
+++ b/src/geraniumridge/_internal/plugins/front.py
@@ -0,0 +1,260 @@
+"""The callers' HTTP interface."""
+
+import logging
+import secrets
+
+import msgspec
+import trio
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.kernel import kernel
+from geraniumridge._internal.kernel import registry
+from geraniumridge._internal.models import config
+from geraniumridge._internal.models import requests
+from geraniumridge._internal.models import session as sessions
+from geraniumridge._internal.network import http
+from geraniumridge._internal.network import streams
+from geraniumridge._internal.plugins import entry
+from geraniumridge._internal.utils import decode
+
+logger = logging.getLogger(__name__)
+
+SESSION_HEADER = "Geraniumridge-Session"
+MAX_IDEMPOTENCY_KEY = 200
+STOP_POLL_S = 0.02
+
+ROUTES = registry.Registry("route")
+
+
+@registry.PLUGINS.register("front")
+class Front(kernel.Plugin):
+    """Authenticates callers and serves their requests."""
+
+    def __init__(self, owner):
+        super().__init__(owner)
+        limits = self._settings.limits
+        self._limits = http.ServerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            head_timeout_s=limits.head_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+        self._connections = set()
+        self._listening = None
+        self._is_draining = False
+
+    @property
+    def connection_count(self):
+        """Open connections of callers."""
+        return len(self._connections)
+
+    async def start(self, nursery):
+        """Listen for callers."""
+        self._configuration = self._kernel.get("configuration")
+        self._entry = self._kernel.get("entry")
+        self._metrics = self._kernel.get("metrics")
+        tls = streams.make_server_context(
+            self._settings.tls, require_peer=False
+        )
+        self._listening = await streams.serve(
+            nursery, self._settings.listen.callers, self._serve, tls
+        )
+
+    async def drain(self):
+        """Stop listening and let the requests in progress finish."""
+        self._listening.cancel()
+        self._is_draining = True
+        while any(not item.is_idle for item in self._connections):
+            await trio.sleep(STOP_POLL_S)
+
+    async def _serve(self, stream):
+        if len(self._connections) >= self._settings.limits.max_connections:
+            self._metrics.count("connections_refused")
+            await trio.aclose_forcefully(stream)
+            return
+        connection = http.ServerConnection(
+            stream, self._handle, self._limits, lambda: self._is_draining
+        )
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    async def _handle(self, request):
+        request_id = secrets.token_hex(8)
+        try:
+            handler, names = _find_route(request)
+            response = await handler(self, request, request_id, *names)
+        except exceptions.RequestError as error:
+            logger.info(
+                "request refused",
+                extra={
+                    "event": "refused",
+                    "request_id": request_id,
+                    "code": error.code,
+                    "executed": error.executed,
+                },
+            )
+            return http.make_problem(error, request_id)
+        return response
+
+    @ROUTES.register(("groups", "statements"))
+    async def _run_statement(self, request, request_id, group):
+        body = _decode_body(request)
+        caller = self._authorise(request, group, body.mode)
+        session = sessions.decode_token(_get_session(request))
+        options = {
+            "request_id": request_id,
+            "idempotency_key": _get_idempotency_key(request, caller),
+        }
+        with entry.measure(self._metrics, caller.team, body.mode):
+            result = await self._entry.run(
+                caller, group, body, session, options
+            )
+        self._check_key(caller)
+        role = "primary" if result.is_primary else "replica"
+        self._metrics.count(f"{body.mode}s:{role}")
+        return _make_response(result, request_id)
+
+    @ROUTES.register(("groups", "transactions"))
+    async def _begin(self, request, request_id, group):
+        caller = self._authorise(request, group, "write")
+        session = sessions.decode_token(_get_session(request))
+        options = {"request_id": request_id}
+        with entry.measure(self._metrics, caller.team, "begin"):
+            result = await self._entry.begin(caller, group, session, options)
+        return _make_response(result, request_id)
+
+    @ROUTES.register(("transactions", "statements"))
+    async def _run_step(self, request, request_id, name):
+        body = _decode_body(request)
+        return await self._run_action(request, request_id, name, "step", body)
+
+    @ROUTES.register(("transactions", "commit"))
+    async def _commit(self, request, request_id, name):
+        return await self._run_action(request, request_id, name, "commit")
+
+    @ROUTES.register(("transactions", "rollback"))
+    async def _rollback(self, request, request_id, name):
+        return await self._run_action(request, request_id, name, "rollback")
+
+    async def _run_action(self, request, request_id, name, action, body=None):
+        caller = self._authenticate(request)
+        session = sessions.decode_token(_get_session(request))
+        options = {"request_id": request_id}
+        with entry.measure(self._metrics, caller.team, action):
+            answer = await self._entry.run_in_transaction(
+                caller, name, action, body, options
+            )
+        self._check_key(caller)
+        data = msgspec.json.decode(answer.body)
+        result = entry.Result(data, session, "", True)
+        return _make_response(result, request_id)
+
+    def _authenticate(self, request):
+        key = _get_key(request)
+        if not key:
+            raise exceptions.UnauthorizedError(
+                "Authorization: a Bearer key is needed"
+            )
+        digest = config.hash_key(key)
+        team = self._configuration.find_team(digest)
+        if team is None:
+            raise exceptions.UnauthorizedError(
+                "Authorization: the key is unknown or was withdrawn"
+            )
+        document = self._configuration.document
+        use = document.use.get(document.plans.get(team))
+        if use is None:
+            raise exceptions.ForbiddenError(f"team {team} has no plan")
+        return entry.Caller(team, digest, use)
+
+    def _authorise(self, request, group, mode):
+        """Return the caller if its plan may use a group this way."""
+        document = self._configuration.document
+        known = document.groups.get(group)
+        if known is not None and known.open_reads and mode == "read":
+            if not _get_key(request):
+                return self._make_open_caller(document)
+        caller = self._authenticate(request)
+        if known is None:
+            raise exceptions.NotFoundError(f"group {group!r}")
+        allowed = caller.use.groups.get(group)
+        if allowed is None or (mode == "write" and allowed == "read"):
+            raise exceptions.ForbiddenError(
+                f"the plan of team {caller.team} has no {mode} on {group}"
+            )
+        return caller
+
+    def _make_open_caller(self, document):
+        plan = document.plans.get(config.OPEN_TEAM, "")
+        use = document.use.get(plan)
+        if use is None:
+            raise exceptions.UnauthorizedError(
+                f"no plan for team {config.OPEN_TEAM!r}: a key is needed"
+            )
+        return entry.Caller(config.OPEN_TEAM, "", use)
+
+    def _check_key(self, caller):
+        """Withhold an answer whose key was withdrawn meanwhile."""
+        if self._configuration.find_team(caller.key_hash) == caller.team:
+            return
+        error = exceptions.UnauthorizedError("the key was withdrawn")
+        error.executed = "unknown"
+        raise error
+
+
+def _find_route(request):
+    path = request.path.partition("?")[0]
+    parts = path.strip("/").split("/")
+    if len(parts) == 4 and parts[0] == "v1":
+        handler = ROUTES.find((parts[1], parts[3]))
+        if handler is not None:
+            if request.method != "POST":
+                raise exceptions.MethodError(f"{path}: use POST")
+            return handler, parts[2:3]
+    raise exceptions.NotFoundError(f"route {path}; see docs/CALLERS.md")
+
+
+def _get_key(request):
+    value = request.headers.get("authorization", "")
+    kind, _, key = value.partition(" ")
+    return key.strip() if kind.lower() == "bearer" else ""
+
+
+def _get_session(request):
+    return request.headers.get(SESSION_HEADER.lower(), "")
+
+
+def _get_idempotency_key(request, caller):
+    """Return the key scoped to its team, so teams never collide."""
+    key = request.headers.get("idempotency-key", "")
+    if len(key) > MAX_IDEMPOTENCY_KEY:
+        raise exceptions.BadRequestError(
+            f"Idempotency-Key: longer than {MAX_IDEMPOTENCY_KEY} characters"
+        )
+    return f"{caller.team}/{key}" if key else ""
+
+
+def _decode_body(request):
+    try:
+        data = msgspec.json.decode(request.body)
+        return decode.decode(requests.StatementBody, data, "body")
+    except msgspec.DecodeError as error:
+        raise exceptions.BadRequestError(f"body: not valid JSON: {error}")
+    except exceptions.SettingsError as error:
+        raise exceptions.BadRequestError("; ".join(error.problems))
+
+
+def _make_response(result, request_id):
+    data = {"request_id": request_id}
+    for key in ("rows", "rowcount", "replayed", "age_ms"):
+        if key in result.answer:
+            data[key] = result.answer[key]
+    if result.transaction:
+        data["transaction"] = result.transaction
+    if result.target:
+        data["target"] = result.target
+    headers = [(SESSION_HEADER, sessions.encode_token(result.session))]
+    return http.make_json_response(data, headers=headers)
--- /dev/null
+++ b/src/geraniumridge/_internal/plugins/peers.py
@@ -0,0 +1,42 @@
+"""The thrift side of the daemon: one server, one pool of links."""
+
+from geraniumridge._internal.kernel import kernel
+from geraniumridge._internal.kernel import registry
+from geraniumridge._internal.network import peers
+from geraniumridge._internal.network import streams
+from geraniumridge._internal.network import wire
+
+
+@registry.PLUGINS.register("peers")
+class Peers(kernel.Plugin):
+    """Calls to other daemons, and handlers for theirs."""
+
+    def __init__(self, owner):
+        super().__init__(owner)
+        self._server = peers.PeerServer(self._settings.security.peer_secret)
+        self._pool = None
+
+    def handle(self, kind, handler):
+        """Answer messages of a type by an async function."""
+        self._server.handle(kind, handler)
+
+    async def call(self, address, message, timeout_s):
+        """Call the daemon at an address; see `PeerPool.call`."""
+        return await self._pool.call(address, message, timeout_s)
+
+    async def start(self, nursery):
+        """Listen for peers."""
+        settings = self._settings
+        hello = wire.messages.Hello(
+            vm=settings.vm.name,
+            domain=settings.vm.domain,
+            secret=settings.security.peer_secret,
+        )
+        client_tls = streams.make_client_context(settings.tls)
+        self._pool = peers.PeerPool(nursery, hello, client_tls)
+        await streams.serve(
+            nursery,
+            settings.listen.peers,
+            self._server.serve,
+            streams.make_server_context(settings.tls, require_peer=True),
+        )
--- /dev/null
+++ b/src/geraniumridge/_internal/plugins/terms.py
@@ -0,0 +1,111 @@
+"""Follows the terms of the database groups."""
+
+import logging
+
+import trio
+
+from geraniumridge._internal.decisions import authority
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.kernel import kernel
+from geraniumridge._internal.kernel import registry
+from geraniumridge._internal.models import records
+from geraniumridge._internal.network import platform
+from geraniumridge._internal.utils import decode
+
+logger = logging.getLogger(__name__)
+
+TERMS_KEY = "terms"
+
+
+def decode_record(data):
+    """Return the terms record of its plain form."""
+    return decode.decode(
+        records.TermsRecord, {"groups": data or {}}, TERMS_KEY
+    )
+
+
+@registry.PLUGINS.register("terms")
+class Terms(kernel.Plugin):
+    """Reads the record of terms and keeps the evidence fresh."""
+
+    def __init__(self, owner):
+        super().__init__(owner)
+        self._authority = authority.Authority(
+            self._settings.authority.evidence_ttl_s
+        )
+        self._platform = platform.PlatformClient(
+            self._settings.platform.address,
+            self._settings.platform.timeout_s,
+        )
+        self._changed = trio.Event()
+
+    @property
+    def authority(self):
+        """The evidence on this VM."""
+        return self._authority
+
+    async def start(self, nursery):
+        """Start reading."""
+        nursery.start_soon(self._follow)
+
+    async def wait_changed(self, timeout_s):
+        """Wait for a newer record, or for a while."""
+        with trio.move_on_after(timeout_s):
+            await self._changed.wait()
+
+    async def read(self):
+        """Read the record once; returns its revision."""
+        sent_at = trio.current_time()
+        entry = await self._platform.get(TERMS_KEY)
+        self.note(sent_at, entry.revision, decode_record(entry.value))
+        return entry.revision
+
+    async def update(self, group, expected, term):
+        """Compare-and-swap one group's entry of the record.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+        expected : records.GroupTerm or None
+            The entry that the decision was made on.
+        term : records.GroupTerm
+            The entry to write.
+
+        Raises
+        ------
+        exceptions.ConflictError
+            If the entry is no longer the expected one.
+        exceptions.PlatformUnavailableError
+            Without an answer; the write may have taken effect.
+        """
+        sent_at = trio.current_time()
+        entry = await self._platform.get(TERMS_KEY)
+        record = decode_record(entry.value)
+        if record.groups.get(group) != expected:
+            self.note(sent_at, entry.revision, record)
+            raise exceptions.ConflictError(f"{group}: the term has changed")
+        groups = {**record.groups, group: term}
+        value = decode.encode(groups)
+        revision = await self._platform.put(TERMS_KEY, value, entry.revision)
+        self.note(sent_at, revision, records.TermsRecord(groups))
+
+    def note(self, sent_at, revision, record):
+        """Take a record that was read at a time."""
+        newer = revision > self._authority.revision
+        self._authority.note_record(sent_at, revision, record)
+        if newer:
+            logger.info(
+                "terms changed",
+                extra={"event": "terms_changed", "revision": revision},
+            )
+            self._changed.set()
+            self._changed = trio.Event()
+
+    async def _follow(self):
+        while True:
+            try:
+                await self.read()
+            except exceptions.PlatformError as error:
+                logger.debug("no terms", extra={"reason": str(error)})
+            await trio.sleep(self._settings.authority.read_every_s)
--- /dev/null
+++ b/src/geraniumridge/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without state."""
--- /dev/null
+++ b/src/geraniumridge/_internal/utils/rendezvous.py
@@ -0,0 +1,36 @@
+"""Rendezvous (highest random weight) hashing."""
+
+import functools
+import hashlib
+
+
+@functools.lru_cache(maxsize=65536)
+def _weight(node, key):
+    digest = hashlib.blake2b(f"{node}\0{key}".encode(), digest_size=8)
+    return digest.digest()
+
+
+def rank_nodes(key, nodes):
+    """Order nodes by their weight for a key, the owner first.
+
+    Parameters
+    ----------
+    key : str
+        What is placed.
+    nodes : iterable of str
+        Names of the candidates.
+
+    Returns
+    -------
+    list of str
+        The candidates; removing one keeps the order of the others.
+    """
+    return sorted(
+        nodes, key=lambda node: (_weight(node, key), node), reverse=True
+    )
+
+
+def choose_node(key, nodes):
+    """Return the owner of a key, or None without candidates."""
+    ranked = rank_nodes(key, nodes)
+    return ranked[0] if ranked else None
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,63 @@
+"""The main job on embedded stand-ins: what a caller sees.
+
+Run as ``python -m standins.demo [--serve]`` or by ``scripts/demo``.
+"""
+
+import argparse
+import time
+
+from standins import fleet
+
+
+def show(title, answer):
+    """Print one answer."""
+    print(f"{title}\n    {answer.status} {answer.data}")
+
+
+def run(deployment):
+    """Write and read through different VMs with one session."""
+    north, south = "north-1", "south-1"
+    answer = deployment.write(
+        north, "ledger", "CREATE TABLE orders (id INTEGER, item TEXT)"
+    )
+    show("north-1 creates a table", answer)
+    answer = deployment.write(
+        south,
+        "ledger",
+        "INSERT INTO orders VALUES (1, 'cold frame')",
+        token=answer.session,
+        idempotency_key="order-1",
+    )
+    show("south-1 takes an order", answer)
+    token = answer.session
+    for name in deployment.vms:
+        sql = "SELECT * FROM orders"
+        answer = deployment.read(name, "ledger", sql, token=token)
+        show(f"{name} reads it in the same session", answer)
+    deployment.keys["nobody"] = "wrong-key"
+    answer = deployment.read(north, "ledger", "SELECT 1", "nobody")
+    show("a wrong key is refused", answer)
+
+
+def main():
+    """Parse the command line, run the demo, stay up if asked."""
+    parser = argparse.ArgumentParser(prog="standins.demo")
+    parser.add_argument("--serve", action="store_true")
+    serve = parser.parse_args().serve
+    with fleet.Fleet() as deployment:
+        run(deployment)
+        if not serve:
+            return
+        print(f"platform: {deployment.platform}")
+        for vm in deployment.vms.values():
+            print(f"{vm.name}: callers http://{vm.callers}")
+        print(f"key: {deployment.keys['coop']}; stop with Ctrl-C")
+        try:
+            while True:
+                time.sleep(1)
+        except KeyboardInterrupt:
+            print("stopped")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,344 @@
+"""Starts a whole deployment on loopback, for demo, tests and load.
+
+Everything is synchronous and built on the standard library, so that
+what it sees does not depend on the product's own client code.
+"""
+
+import contextlib
+import http.client
+import itertools
+import json
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+from geraniumridge._internal.models import config
+
+READY_TIMEOUT_S = 15.0
+POLL_S = 0.05
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+_PORTS = itertools.cycle(
+    random.SystemRandom().sample(range(FIRST_PORT, LAST_PORT), 20_000)
+)
+
+
+class Answer(typing.NamedTuple):
+    """One HTTP answer; `session` is the token that came with it."""
+
+    status: int
+    data: typing.Any
+    session: str
+
+
+class Vm(typing.NamedTuple):
+    """One daemon: name, domain and its three addresses."""
+
+    name: str
+    domain: str
+    callers: str
+    peers: str
+    operators: str
+
+
+def reserve_address(host="127.0.0.1"):
+    """Return an unused address that no client socket can take.
+
+    The ports lie below the range that the system gives to outgoing
+    connections.
+    """
+    for port in _PORTS:
+        with socket.socket() as probe:
+            with contextlib.suppress(OSError):
+                probe.bind((host, port))
+                return f"{host}:{port}"
+    raise OSError("no unused port is left")
+
+
+def request(address, method, path, data=None, headers=(), timeout_s=30):
+    """Send one JSON request on a connection of its own."""
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    with contextlib.closing(connection):
+        body = None if data is None else json.dumps(data)
+        connection.request(method, path, body, dict(headers))
+        response = connection.getresponse()
+        text = response.read()
+        token = response.getheader("Geraniumridge-Session", "")
+        return Answer(response.status, json.loads(text or "null"), token)
+
+
+def wait_for(condition, what, timeout_s=READY_TIMEOUT_S):
+    """Poll until a condition holds and return its value."""
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            value = condition()
+            if value:
+                return value
+        time.sleep(POLL_S)
+    raise TimeoutError(f"{what}: not within {timeout_s} s")
+
+
+class Fleet:
+    """Processes of one deployment; use it as a context manager.
+
+    Parameters
+    ----------
+    domains : sequence of str
+        The failure domains.
+    vms_per_domain : int
+        Daemons in each.
+    groups : sequence of str
+        Database groups, each with one instance per domain.
+    lag_ms : float
+        Replication lag.
+    teams : dict, optional
+        Plan of each team: rate, burst.
+    settings : str, optional
+        Further TOML for each daemon.
+    """
+
+    def __init__(
+        self,
+        domains=("north", "south"),
+        vms_per_domain=2,
+        groups=("ledger",),
+        lag_ms=50,
+        teams=None,
+        settings="",
+        service_ms=1,
+    ):
+        self.domains = domains
+        self.groups = groups
+        self.lag_ms = lag_ms
+        self.service_ms = service_ms
+        self.teams = teams or {"coop": (1000.0, 1000)}
+        self.extra_settings = settings
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
+        self.processes = {}
+        self.platform = reserve_address()
+        self.targets = {}
+        self.vms = {}
+        self.keys = {team: f"key-of-{team}" for team in self.teams}
+        for domain in domains:
+            for index in range(1, vms_per_domain + 1):
+                self.add_vm(f"{domain}-{index}", domain)
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *details):
+        self.stop()
+
+    def add_vm(self, name, domain):
+        """Reserve the addresses of a further VM."""
+        addresses = [reserve_address() for _ in range(3)]
+        self.vms[name] = Vm(name, domain, *addresses)
+        return self.vms[name]
+
+    def start(self):
+        """Start everything and wait until every VM is ready."""
+        self.start_platform()
+        for group in self.groups:
+            self.start_group(group)
+        wait_for(self.list_vms, "platform")
+        self.write_config()
+        for name in self.vms:
+            self.start_vm(name)
+        for name in self.vms:
+            self.wait_ready(name)
+
+    def stop(self):
+        """End every process that this object started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def spawn(self, name, *arguments):
+        """Start one process; its output goes to a file."""
+        path = self.directory / f"{name}.log"
+        with path.open("a") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+            )
+
+    def start_platform(self):
+        """Start the platform stand-in."""
+        arguments = ["--address", self.platform]
+        self.spawn("platform", "-m", "standins.platform", *arguments)
+
+    def start_group(self, group):
+        """Start a database group with one instance per domain."""
+        arguments = ["-m", "standins.group", "--lag-ms", str(self.lag_ms)]
+        arguments += ["--service-ms", str(self.service_ms)]
+        for domain in self.domains:
+            address = reserve_address()
+            self.targets[group, f"{group}-{domain}"] = address
+            arguments += ["--instance", f"{group}-{domain}={address}"]
+        self.spawn(f"group-{group}", *arguments)
+
+    def list_vms(self):
+        """Tell the platform which VMs there are."""
+        entries = [
+            {
+                "name": vm.name,
+                "domain": vm.domain,
+                "address": vm.peers,
+                "operators": vm.operators,
+                "state": "live",
+            }
+            for vm in self.vms.values()
+        ]
+        answer = request(self.platform, "PUT", "/admin/vms", {"vms": entries})
+        return answer.status == 200
+
+    def set_platform(self, **faults):
+        """Set faults of the platform; returns its counters."""
+        answer = request(self.platform, "PUT", "/admin/faults", faults)
+        return answer.data["counters"]
+
+    def set_target(self, group, target, **faults):
+        """Set faults of an instance; returns its state and log."""
+        address = self.targets[group, target]
+        return request(address, "POST", "/admin", faults).data
+
+    def make_document(self):
+        """Return the operators' configuration as sections."""
+        groups = {}
+        for group in self.groups:
+            groups[group] = {"targets": {}}
+            for domain in self.domains:
+                name = f"{group}-{domain}"
+                address = self.targets[group, name]
+                entry = {"address": address, "domain": domain}
+                groups[group]["targets"][name] = entry
+        use = {
+            f"plan-{team}": {
+                "rate_per_s": rate,
+                "burst": burst,
+                "groups": {group: "write" for group in self.groups},
+            }
+            for team, (rate, burst) in self.teams.items()
+        }
+        return {
+            "domains": {domain: {} for domain in self.domains},
+            "groups": groups,
+            "use": use,
+            "plans": {team: f"plan-{team}" for team in self.teams},
+            "keys": {
+                config.hash_key(key): {"team": team}
+                for team, key in self.keys.items()
+            },
+        }
+
+    def write_config(self):
+        """Commit the configuration as the chain's first change."""
+        edits = [
+            {"section": section, "name": name, "value": value}
+            for section, table in self.make_document().items()
+            for name, value in table.items()
+        ]
+        change = {
+            "version": 1,
+            "previous": "0" * 64,
+            "id": "first",
+            "author": "fleet",
+            "edits": edits,
+        }
+        body = {"value": json.dumps(change), "expected_revision": 0}
+        request(self.platform, "PUT", "/kv/config/changes/1", body)
+
+    def write_settings(self, vm):
+        """Write a daemon's settings file and return its path."""
+        path = self.directory / f"{vm.name}.toml"
+        path.write_text(f"""
+[vm]
+name = "{vm.name}"
+domain = "{vm.domain}"
+[listen]
+callers = "{vm.callers}"
+peers = "{vm.peers}"
+operators = "{vm.operators}"
+[platform]
+address = "{self.platform}"
+{self.extra_settings}
+""")
+        return path
+
+    def start_vm(self, name):
+        """Start a daemon."""
+        path = self.write_settings(self.vms[name])
+        code = "from geraniumridge._internal.cli import daemon; daemon.main()"
+        self.spawn(name, "-c", code, str(path))
+
+    def wait_ready(self, name):
+        """Wait until a daemon serves a read of each group."""
+        vm = self.vms[name]
+        team = next(iter(self.teams))
+
+        def is_ready():
+            health = request(vm.operators, "GET", "/health")
+            return health.status == 200 and all(
+                self.read(name, group, "SELECT 1", team).status == 200
+                for group in self.groups
+            )
+
+        wait_for(is_ready, f"{name} ready")
+
+    def send(self, name, path, data=None, team=None, headers=None):
+        """Send a caller's request to a VM."""
+        team = team or next(iter(self.teams))
+        headers = dict(headers or {})
+        headers.setdefault("Authorization", f"Bearer {self.keys[team]}")
+        address = self.vms[name].callers
+        return request(address, "POST", path, data, headers)
+
+    def read(self, name, group, sql, team=None, token="", **options):
+        """Run a read through a VM."""
+        return self._run(name, group, sql, "read", team, token, options)
+
+    def write(self, name, group, sql, team=None, token="", **options):
+        """Run a write through a VM."""
+        return self._run(name, group, sql, "write", team, token, options)
+
+    def _run(self, name, group, sql, mode, team, token, options):
+        headers = {"Geraniumridge-Session": token} if token else {}
+        key = options.pop("idempotency_key", "")
+        if key:
+            headers["Idempotency-Key"] = key
+        data = {"sql": sql, "mode": mode, **options}
+        path = f"/v1/groups/{group}/statements"
+        return self.send(name, path, data, team, headers)
+
+    def get_page(self, name, page):
+        """Return an operators' page of a VM."""
+        return request(self.vms[name].operators, "GET", page).data
+
+    def kill(self, name):
+        """End a process without warning."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def signal(self, name, number):
+        """Send a signal to a process."""
+        self.processes[name].send_signal(number)
--- /dev/null
+++ b/standins/group.py
@@ -0,0 +1,471 @@
+"""Stand-in for a database group: instances on sqlite in memory.
+
+Run as ``python -m standins.group --instance NAME=IP:port ...``. The
+first instance starts as primary of term 1. Replication is
+asynchronous with ``--lag-ms``; each instance has slots, a connection
+limit and a time to connect. ``/admin`` on any instance sets faults:
+``frozen`` (no answers), ``isolated`` (no replication to or from it),
+``lag_ms``, ``down`` (connections dropped) and ``delay_ms``.
+
+Statements carry what the target itself must check: the term that a
+writer expects, the mark and the age that a reader needs. Writes with
+an idempotency key are remembered with the data, so that a repeat
+returns the first result on any primary that has it.
+"""
+
+import argparse
+import contextlib
+import functools
+import sqlite3
+
+import msgspec
+import trio
+
+from geraniumridge._internal.network import http
+from geraniumridge._internal.network import streams
+
+REPLICATION_STEP_S = 0.005
+WRITE_LOCK_TIMEOUT_S = 5.0
+
+
+class Refused(Exception):
+    """A request that was not run; the argument is the reason."""
+
+
+class Entry:
+    """One committed write in an instance's log."""
+
+    def __init__(self, term, position, at, request, statements, result):
+        self.term = term
+        self.position = position
+        self.at = at
+        self.request = request
+        self.statements = statements
+        self.result = result
+
+
+class Instance:
+    """One database instance."""
+
+    def __init__(self, name, options):
+        self.name = name
+        self.options = options
+        self.database = open_database()
+        self.log = []
+        self.applied = {}
+        self.term = 1
+        self.role = "replica"
+        self.synced_at = trio.current_time()
+        self.faults = {
+            "frozen": False,
+            "isolated": False,
+            "down": False,
+            "delay_ms": 0,
+        }
+        self.slots = trio.Semaphore(options.slots)
+        self.write_lock = trio.Lock()
+        self.connections = 0
+        self.peak_connections = 0
+        self.executed = []
+        self.grown = trio.Event()
+
+    @property
+    def position(self):
+        """Position of the last entry in the log."""
+        return self.log[-1].position if self.log else 0
+
+    def get_age_ms(self):
+        """Age of the data: 0 on a primary."""
+        if self.role == "primary":
+            return 0
+        return round((trio.current_time() - self.synced_at) * 1000)
+
+    def get_status(self):
+        """What the instance says of itself."""
+        return {
+            "term": self.term,
+            "position": self.position,
+            "role": self.role,
+            "age_ms": self.get_age_ms(),
+        }
+
+    def apply(self, entry):
+        """Apply a committed entry to data and log."""
+        with transaction(self.database):
+            for sql, params in entry.statements:
+                self.database.execute(sql, params)
+        self.append(entry)
+
+    def append(self, entry):
+        """Add an entry that the data already holds to the log."""
+        self.log.append(entry)
+        if entry.request:
+            self.applied[entry.request] = entry.result
+        self.grown.set()
+        self.grown = trio.Event()
+
+    def rebuild(self, entries):
+        """Replace data and log, as a returning former primary must."""
+        self.database = open_database()
+        self.log = []
+        self.applied = {}
+        for entry in entries:
+            self.apply(entry)
+
+
+class Group:
+    """The instances and the replication between them."""
+
+    def __init__(self, options):
+        self.options = options
+        self.instances = {}
+
+    async def replicate(self):
+        """Carry the primary's log to the replicas, late."""
+        while True:
+            await trio.sleep(REPLICATION_STEP_S)
+            primary = self.find_source()
+            if primary is None:
+                continue
+            for instance in self.instances.values():
+                if instance is not primary:
+                    self.feed(primary, instance)
+
+    def find_source(self):
+        """Return the reachable primary of the highest term."""
+        primaries = [
+            item
+            for item in self.instances.values()
+            if item.role == "primary" and not is_cut(item)
+        ]
+        return max(primaries, key=lambda item: item.term, default=None)
+
+    def feed(self, primary, replica):
+        """Bring one replica up to the lag."""
+        if is_cut(replica) or primary.term < replica.term:
+            return
+        due = trio.current_time() - self.options.lag_ms / 1000
+        if replica.term < primary.term:
+            replica.role = "replica"
+            replica.term = primary.term
+            shared = count_shared(primary.log, replica.log)
+            if shared < len(replica.log):
+                replica.rebuild(primary.log[:shared])
+        for entry in primary.log[len(replica.log) :]:
+            if entry.at > due:
+                break
+            replica.apply(entry)
+        replica.synced_at = due
+
+
+def is_cut(instance):
+    """Tell whether an instance takes no part in replication."""
+    faults = instance.faults
+    return faults["isolated"] or faults["frozen"] or faults["down"]
+
+
+def count_shared(left, right):
+    """Length of the common prefix of two logs."""
+    count = 0
+    for ours, theirs in zip(left, right):
+        if (ours.term, ours.position) != (theirs.term, theirs.position):
+            break
+        count += 1
+    return count
+
+
+def open_database():
+    """Return an empty database."""
+    return sqlite3.connect(":memory:", isolation_level=None)
+
+
+@contextlib.contextmanager
+def transaction(database):
+    """Commit at the end, roll back on an error."""
+    database.execute("BEGIN")
+    try:
+        yield
+    except BaseException:
+        database.execute("ROLLBACK")
+        raise
+    database.execute("COMMIT")
+
+
+class Session:
+    """One connection to an instance, with its transaction if any."""
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.copy = None
+        self.statements = []
+        self.transaction_term = 0
+
+    async def handle(self, request):
+        """Answer one request."""
+        instance = self.instance
+        if request.path == "/admin":
+            return self.handle_admin(request)
+        while instance.faults["frozen"]:
+            await trio.sleep(0.02)
+        if instance.faults["down"]:
+            raise trio.BrokenResourceError
+        await trio.sleep(instance.faults["delay_ms"] / 1000)
+        data = msgspec.json.decode(request.body or b"{}")
+        answer, status = await self.answer(request.path, data)
+        answer.update(instance.get_status())
+        answer["request_id"] = data.get("request_id")
+        return http.make_json_response(answer, status)
+
+    async def answer(self, path, data):
+        """Run one request and return body and status."""
+        try:
+            return await HANDLERS[path](self, data), 200
+        except Refused as error:
+            return {"error": "refused", "detail": str(error)}, 409
+        except (sqlite3.Error, sqlite3.Warning) as error:
+            return {"error": "statement", "detail": str(error)}, 422
+
+    def handle_admin(self, request):
+        """Set faults; answer with state and log."""
+        data = msgspec.json.decode(request.body or b"{}")
+        instance = self.instance
+        if "lag_ms" in data:
+            instance.options.lag_ms = data.pop("lag_ms")
+        instance.faults.update(data)
+        answer = instance.get_status()
+        answer["peak_connections"] = instance.peak_connections
+        answer["executed"] = instance.executed
+        answer["log"] = [
+            [item.term, item.position, item.request, item.statements]
+            for item in instance.log
+        ]
+        return http.make_json_response(answer)
+
+    def check(self, data, write):
+        """Refuse what this instance may not serve."""
+        instance = self.instance
+        status = instance.get_status()
+        if write or data.get("primary"):
+            if instance.role != "primary":
+                raise Refused("not-primary")
+            if data.get("term") and data["term"] != instance.term:
+                raise Refused("wrong-term")
+        mark = (data.get("min_term", 0), data.get("min_position", 0))
+        if mark[0] > instance.term or (
+            mark[1] > instance.position and mark[0] >= 1
+        ):
+            raise Refused("behind")
+        max_age = data.get("max_age_ms", -1)
+        if 0 <= max_age < status["age_ms"]:
+            raise Refused("behind")
+
+    async def run_statement(self, data):
+        """Run one statement, in the open transaction if there is one."""
+        if self.copy is not None:
+            return self.run_in_transaction(data)
+        write = data["mode"] == "write"
+        async with self.instance.slots:
+            self.check(data, write)
+            self.instance.executed.append(data["request_id"])
+            await trio.sleep(self.instance.options.service_ms / 1000)
+            if write:
+                return await self.run_write(data)
+            return run_read(self.instance.database, data)
+
+    async def run_write(self, data):
+        """Commit one write, or return its first result again."""
+        instance = self.instance
+        key = data.get("idempotency_key")
+        with trio.fail_after(WRITE_LOCK_TIMEOUT_S):
+            await instance.write_lock.acquire()
+        try:
+            self.check(data, write=True)
+            if key and key in instance.applied:
+                return {**instance.applied[key], "replayed": True}
+            with transaction(instance.database):
+                cursor = instance.database.execute(data["sql"], data["params"])
+                rows = cursor.fetchall()
+            result = {"rows": rows, "rowcount": cursor.rowcount}
+            statement = (data["sql"], data["params"])
+            self.commit_entry([statement], key or data["request_id"], result)
+            return result
+        finally:
+            instance.write_lock.release()
+
+    def commit_entry(self, statements, request, result):
+        """Append to the log of this primary."""
+        instance = self.instance
+        instance.append(
+            Entry(
+                instance.term,
+                instance.position + 1,
+                trio.current_time(),
+                request,
+                statements,
+                result,
+            )
+        )
+
+    async def begin(self, data):
+        """Open a transaction on a private copy of the data."""
+        self.check(data, write=True)
+        with trio.fail_after(WRITE_LOCK_TIMEOUT_S):
+            await self.instance.write_lock.acquire()
+        try:
+            self.check(data, write=True)
+        except Refused:
+            self.instance.write_lock.release()
+            raise
+        self.copy = open_database()
+        self.instance.database.backup(self.copy)
+        self.statements = []
+        self.transaction_term = self.instance.term
+        return {}
+
+    def run_in_transaction(self, data):
+        """Run a statement on the transaction's copy."""
+        self.instance.executed.append(data["request_id"])
+        if data["mode"] == "read":
+            return run_read(self.copy, data)
+        cursor = self.copy.execute(data["sql"], data["params"])
+        self.statements.append((data["sql"], data["params"]))
+        return {"rows": cursor.fetchall(), "rowcount": cursor.rowcount}
+
+    async def commit(self, data):
+        """Make the transaction's writes durable, all at once."""
+        if self.copy is None:
+            raise Refused("no-transaction")
+        try:
+            instance = self.instance
+            if instance.role != "primary":
+                raise Refused("not-primary")
+            if instance.term != self.transaction_term:
+                raise Refused("wrong-term")
+            if self.statements:
+                with transaction(instance.database):
+                    for sql, params in self.statements:
+                        instance.database.execute(sql, params)
+                self.commit_entry(self.statements, data["request_id"], {})
+            return {}
+        finally:
+            self.end()
+
+    async def rollback(self, data):
+        """Forget the transaction."""
+        self.end()
+        return {}
+
+    def end(self):
+        """Release what a transaction holds."""
+        if self.copy is not None:
+            self.copy.close()
+            self.copy = None
+            self.statements = []
+            self.instance.write_lock.release()
+
+    async def wait_position(self, data):
+        """Wait until the log has reached a mark."""
+        instance = self.instance
+        with trio.move_on_after(data["wait_ms"] / 1000):
+            while (instance.term, instance.position) < (
+                data["min_term"],
+                data["min_position"],
+            ):
+                await instance.grown.wait()
+        return {}
+
+    async def get_status(self, data):
+        """Answer with the state alone."""
+        return {}
+
+    async def promote(self, data):
+        """Become primary of a higher term."""
+        instance = self.instance
+        if data["term"] <= instance.term:
+            raise Refused(f"term {instance.term} is in force")
+        instance.term = data["term"]
+        instance.role = "primary"
+        return {}
+
+    async def demote(self, data):
+        """Take no writes of terms before the given one."""
+        instance = self.instance
+        if data["term"] > instance.term and instance.role == "primary":
+            instance.role = "replica"
+            instance.synced_at = trio.current_time()
+        return {}
+
+
+def run_read(database, data):
+    """Run a read; a statement that writes is rejected."""
+    database.execute("PRAGMA query_only = ON")
+    try:
+        cursor = database.execute(data["sql"], data["params"])
+        return {"rows": cursor.fetchall(), "rowcount": cursor.rowcount}
+    finally:
+        database.execute("PRAGMA query_only = OFF")
+
+
+HANDLERS = {
+    "/statement": Session.run_statement,
+    "/begin": Session.begin,
+    "/commit": Session.commit,
+    "/rollback": Session.rollback,
+    "/wait": Session.wait_position,
+    "/status": Session.get_status,
+    "/promote": Session.promote,
+    "/demote": Session.demote,
+}
+
+
+async def serve_stream(instance, stream):
+    """Serve one connection to an instance."""
+    if instance.faults["down"]:
+        await trio.aclose_forcefully(stream)
+        return
+    if instance.connections >= instance.options.connections:
+        await trio.aclose_forcefully(stream)
+        return
+    instance.connections += 1
+    instance.peak_connections = max(
+        instance.peak_connections, instance.connections
+    )
+    session = Session(instance)
+    try:
+        await trio.sleep(instance.options.connect_ms / 1000)
+        limits = http.ServerLimits(head_timeout_s=60, idle_timeout_s=3600)
+        await http.ServerConnection(stream, session.handle, limits).run()
+    finally:
+        session.end()
+        instance.connections -= 1
+
+
+async def serve(options):
+    """Serve every instance until cancelled."""
+    group = Group(options)
+    async with trio.open_nursery() as nursery:
+        for item in options.instance:
+            name, _, address = item.partition("=")
+            instance = Instance(name, options)
+            group.instances[name] = instance
+            handler = functools.partial(serve_stream, instance)
+            await streams.serve(nursery, address, handler)
+        first = next(iter(group.instances.values()))
+        first.role = "primary"
+        nursery.start_soon(group.replicate)
+
+
+def main():
+    """Parse the command line and serve."""
+    parser = argparse.ArgumentParser(prog="standins.group")
+    parser.add_argument("--instance", action="append", required=True)
+    parser.add_argument("--lag-ms", type=float, default=50)
+    parser.add_argument("--slots", type=int, default=3)
+    parser.add_argument("--connections", type=int, default=20)
+    parser.add_argument("--connect-ms", type=float, default=10)
+    parser.add_argument("--service-ms", type=float, default=1)
+    trio.run(serve, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
