Cells: membership by heartbeats, leases and views (in progress: one known safety fault)

Cause: placement followed the platform's list alone, so an outage or a lag of the list moved or doubled placements.

--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/cell.py
@@ -0,0 +1,513 @@
+"""One VM's part in its cell: seeks, follows, claims or leads.
+
+Every right lapses on the VM's own clock, counted from when the renewal
+was sent. While a new view waits for its acknowledgements, a VM acts
+only on what it owns under the old view and the new one.
+"""
+
+import math
+import typing
+
+from geraniumridge._internal.decisions import leadership
+from geraniumridge._internal.models import membership
+from geraniumridge._internal.utils import rendezvous
+
+SUSPECT_HEARTBEATS = 3
+CLAIM_HEARTBEATS = 1.0
+ABDICATE_EVERY_HEARTBEATS = 2
+GONE_S = 10.0
+
+
+class SendHeartbeat(typing.NamedTuple):
+    """Send a heartbeat to an address and report the answer."""
+
+    address: str
+    heartbeat: membership.Heartbeat
+
+
+class SendClaim(typing.NamedTuple):
+    """Send a claim to an address and report the answer."""
+
+    address: str
+    claim: membership.Claim
+
+
+class _Candidacy:
+    """A claim that waits for its answers."""
+
+    def __init__(self, number, asked, ends_at):
+        self.number = number
+        self.waiting = set(asked)
+        self.ends_at = ends_at
+        self.accepted = {}
+        self.refused = False
+
+
+class Cell:
+    """Decides what one VM may do in its failure domain.
+
+    Parameters
+    ----------
+    me : membership.Member
+        This VM.
+    heartbeat_s : float
+        Interval of heartbeats, in seconds.
+    lease_s : float
+        Length of a lease, in seconds.
+    now : float
+        Current time, in seconds.
+    """
+
+    def __init__(self, me, heartbeat_s, lease_s, now):
+        self._me = me
+        self._heartbeat_s = heartbeat_s
+        self._lease_s = lease_s
+        self._listed = {}
+        self._seeds = ()
+        self._unlisted_since = {}
+        self._promised = 0
+        self._seen = 0
+        self._view = None
+        self._prior = None
+        self._active = False
+        self._lease_until = -math.inf
+        self._share = 0.0
+        self._speaks = False
+        self._echo = 0.0
+        self._bases = ()
+        self._leader_address = ""
+        self._contact_at = now
+        self._next_beat_at = now
+        self._beats = 0
+        self._candidacy = None
+        self._leadership = None
+        self._is_leaving = False
+
+    @property
+    def view(self):
+        """The newest view known, or None."""
+        if self._leadership is not None:
+            return self._leadership.view
+        return self._view
+
+    @property
+    def leader_address(self):
+        """Address that heartbeats go to; empty while unknown."""
+        return self._leader_address
+
+    @property
+    def is_leader(self):
+        """Whether this VM leads its cell."""
+        return self._leadership is not None
+
+    @property
+    def has_left(self):
+        """Whether a leaving VM is out of the view."""
+        if self._leadership is not None:
+            return False
+        return self._view is None or self._view.find(self._me.name) is None
+
+    def set_listed(self, now, members):
+        """Take the platform's list of this domain's VMs.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        members : dict of str to str
+            Peer address by name.
+        """
+        for name in self._listed.keys() - members.keys():
+            self._unlisted_since.setdefault(name, now)
+        for name in members:
+            self._unlisted_since.pop(name, None)
+        self._listed = dict(members)
+
+    def set_seeds(self, addresses):
+        """Take addresses to try beside the platform's list."""
+        self._seeds = tuple(addresses)
+
+    def knows_leader(self, now):
+        """Tell whether this VM leads, or heard its leader lately."""
+        if self._leadership is not None:
+            return True
+        suspect_s = SUSPECT_HEARTBEATS * self._heartbeat_s
+        return self._view is not None and now - self._contact_at < suspect_s
+
+    def owns(self, now, key):
+        """Tell whether this VM may act on a placement now."""
+        if not self._may_act(now):
+            return False
+        view, prior = self.view, self._get_prior()
+        names = [item for item in (view, prior) if item is not None]
+        return all(
+            rendezvous.choose_node(key, item.names) == self._me.name
+            for item in names
+        )
+
+    def get_share(self, now):
+        """Return the part of the domain's share held by this view."""
+        if self._leadership is not None:
+            return self._leadership.get_share(now)
+        return self._share if now < self._lease_until else 0.0
+
+    def speaks(self, now):
+        """Tell whether this VM leads most of its domain's VMs."""
+        return self._leadership is not None and self._leadership.speaks(now)
+
+    def leave(self):
+        """Begin to leave: the leader resigns, a member asks to go."""
+        self._is_leaving = True
+        if self._leadership is not None:
+            self._resign()
+
+    def tick(self, now):
+        """Do what is due and yield the messages to send."""
+        if self._leadership is not None:
+            gone = {
+                name
+                for name, since in self._unlisted_since.items()
+                if now - since > GONE_S
+            }
+            self._leadership.tick(now, set(self._listed), gone)
+        if self._candidacy is not None and now >= self._candidacy.ends_at:
+            self._end_candidacy(now)
+        if now < self._next_beat_at:
+            return
+        self._next_beat_at = now + self._heartbeat_s
+        self._beats += 1
+        if self._leadership is not None:
+            yield from self._seek_larger_cell()
+        elif self._may_claim(now):
+            yield from self._start_claim(now)
+        elif self._candidacy is None:
+            yield from self._send_heartbeats()
+
+    def take_heartbeat(self, now, heartbeat):
+        """Answer a heartbeat of another VM."""
+        self._seen = max(self._seen, heartbeat.number)
+        if self._leadership is not None:
+            return self._leadership.take_heartbeat(now, heartbeat)
+        known = self.knows_leader(now)
+        return membership.HeartbeatAnswer(
+            False,
+            self._seen,
+            self._get_hint(now),
+            resigned=self._is_leaving,
+            view=self._view if known else None,
+        )
+
+    def take_heartbeat_answer(self, now, sent_at, address, answer):
+        """Take the answer to a heartbeat sent at a time.
+
+        Returns
+        -------
+        bool
+            Whether to send the next heartbeat at once.
+        """
+        self._seen = max(self._seen, answer.number)
+        if self._leadership is not None:
+            return self._consider_abdication(now, answer)
+        if not answer.granted:
+            return self._take_hint(now, address, answer)
+        view = answer.view
+        if self._view is not None and view.epoch < self._view.epoch:
+            return False
+        if view.number < self._promised:
+            # A later claim was accepted while this answer travelled.
+            return False
+        changed = self._adopt_view(now, view, answer.active)
+        self._lease_until = sent_at + answer.lease_s
+        self._contact_at = max(self._contact_at, sent_at)
+        self._share = answer.share
+        self._echo = max(self._echo, answer.stamp)
+        base_changed = self._bases != answer.bases
+        self._bases = answer.bases
+        self._leader_address = address
+        return changed or base_changed
+
+    def take_claim(self, now, claim):
+        """Accept or refuse another VM's claim to lead."""
+        if claim.number <= self._promised or self.knows_leader(now):
+            seen = max(self._seen, self._promised)
+            return membership.ClaimAnswer(False, seen, self._get_hint(now))
+        self._promised = claim.number
+        number, leader = self._view.epoch if self._view else (0, "")
+        self._drop_rights()
+        self._view = None
+        self._contact_at = now
+        self._leader_address = claim.sender.address
+        return membership.ClaimAnswer(
+            True,
+            claim.number,
+            "",
+            number,
+            leader,
+            self._is_leaving,
+            self._bases,
+        )
+
+    def take_claim_answer(self, now, number, sender, answer):
+        """Take a VM's answer to this VM's claim.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        number : int
+            Number of the claim that was sent.
+        sender : membership.Member
+            Who answers.
+        answer : membership.ClaimAnswer
+            The answer.
+        """
+        self._seen = max(self._seen, answer.number)
+        candidacy = self._candidacy
+        if candidacy is None or candidacy.number != number:
+            return
+        candidacy.waiting.discard(sender.address)
+        if answer.accepted:
+            candidacy.accepted[sender] = answer
+        else:
+            candidacy.refused = True
+            if answer.leader_address:
+                self._leader_address = answer.leader_address
+        if not candidacy.waiting:
+            self._end_candidacy(now)
+
+    def _may_act(self, now):
+        if self._leadership is None:
+            return self._active_or_prior() and now < self._lease_until
+        return self._leadership.is_active or self._get_prior() is not None
+
+    def _active_or_prior(self):
+        return self._active or self._prior is not None
+
+    def _get_prior(self):
+        if self._leadership is not None:
+            return self._leadership.prior
+        return self._prior
+
+    def _get_hint(self, now):
+        """Return the address where the leader is thought to be."""
+        if self._leadership is not None:
+            return self._me.address
+        suspect_s = SUSPECT_HEARTBEATS * self._heartbeat_s
+        recent = now - self._contact_at < suspect_s
+        return self._leader_address if recent else ""
+
+    def _adopt_view(self, now, view, active):
+        """Follow a view; returns whether it is a new one."""
+        changed = self._view is None or view.epoch != self._view.epoch
+        if changed:
+            same = self._view is not None and self._view.leader == view.leader
+            held = self._active and now < self._lease_until
+            if not (same and (held or self._prior is not None)):
+                self._prior = None
+            elif self._active:
+                self._prior = self._view
+            if not same:
+                self._echo = 0.0
+            self._view = view
+        self._active = active
+        if active:
+            self._prior = None
+        self._promised = max(self._promised, view.number)
+        return changed
+
+    def _drop_rights(self):
+        self._leadership = None
+        self._candidacy = None
+        self._active = False
+        self._prior = None
+        self._lease_until = -math.inf
+        self._share = 0.0
+        self._echo = 0.0
+
+    def _take_hint(self, now, address, answer):
+        """Follow a hint to the leader, or note that it resigned."""
+        if answer.resigned and address == self._leader_address:
+            suspect_s = SUSPECT_HEARTBEATS * self._heartbeat_s
+            self._contact_at = min(self._contact_at, now - suspect_s)
+            return False
+        if answer.leader_address and not self.knows_leader(now):
+            moved = self._leader_address != answer.leader_address
+            self._leader_address = answer.leader_address
+            if answer.view is not None:
+                self._contact_at = max(
+                    self._contact_at, now - self._heartbeat_s
+                )
+            return moved and answer.leader_address != self._me.address
+        return False
+
+    def _may_claim(self, now):
+        if self._candidacy is not None or self._is_leaving:
+            return False
+        candidates = {*self._listed, self._me.name}
+        if self._view is not None:
+            candidates.discard(self._view.leader)
+        candidates.add(self._me.name)
+        names = sorted(candidates)
+        rank = names.index(self._me.name)
+        silent_s = now - self._contact_at
+        wait = SUSPECT_HEARTBEATS + rank
+        return silent_s >= wait * self._heartbeat_s
+
+    def _list_peers(self):
+        addresses = dict(self._listed)
+        if self._view is not None:
+            for member in self._view.members:
+                addresses[member.name] = member.address
+        addresses.pop(self._me.name, None)
+        known = {*addresses.values(), self._me.address}
+        for address in self._seeds:
+            if address not in known:
+                addresses[f"seed {address}"] = address
+        return addresses
+
+    def _start_claim(self, now):
+        self._promised = max(self._promised, self._seen) + 1
+        peers = self._list_peers().values()
+        ends_at = now + CLAIM_HEARTBEATS * self._heartbeat_s
+        self._candidacy = _Candidacy(self._promised, peers, ends_at)
+        claim = membership.Claim(self._me, self._promised)
+        if not self._candidacy.waiting:
+            self._end_candidacy(now)
+        for address in peers:
+            yield SendClaim(address, claim)
+
+    def _end_candidacy(self, now):
+        candidacy, self._candidacy = self._candidacy, None
+        self._contact_at = now
+        if candidacy.refused or candidacy.number != self._promised:
+            return
+        history = leadership.History(
+            self._is_complete(candidacy),
+            self._is_fresh(candidacy),
+            frozenset(
+                sender.name
+                for sender, answer in candidacy.accepted.items()
+                if answer.leaving
+            ),
+        )
+        answers = candidacy.accepted.values()
+        bases = set(self._bases).union(*(item.bases for item in answers))
+        members = [
+            sender
+            for sender in (self._me, *candidacy.accepted)
+            if sender.name not in history.left
+        ]
+        self._drop_rights()
+        self._view = None
+        self._leadership = leadership.Leadership(
+            self._me,
+            candidacy.number,
+            members,
+            bases,
+            self._lease_s,
+            now,
+            history,
+        )
+
+    def _is_fresh(self, candidacy):
+        """Tell whether no listed VM ever followed anybody."""
+        answers = candidacy.accepted.values()
+        names = {member.name for member in candidacy.accepted}
+        names.add(self._me.name)
+        return (
+            self._view is None
+            and not self._bases
+            and bool(self._listed)
+            and names >= self._listed.keys()
+            and not any(item.bases or item.epoch_number for item in answers)
+        )
+
+    def _is_complete(self, candidacy):
+        """Tell whether nobody else can act under an earlier view."""
+        names = {member.name for member in candidacy.accepted}
+        names.add(self._me.name)
+        answers = candidacy.accepted.values()
+        epochs = [(item.epoch_number, item.epoch_leader) for item in answers]
+        if self._view is None:
+            return self._is_fresh(candidacy)
+        if any(epoch > self._view.epoch for epoch in epochs):
+            return False
+        held = set(self._view.names)
+        if self._prior is not None:
+            held |= self._prior.names
+        held.add(self._view.leader)
+        return names >= held
+
+    def _send_heartbeats(self):
+        """Renew with the leader, or look for one."""
+        addresses = [self._leader_address]
+        if not self._leader_address:
+            addresses = list(self._list_peers().values())
+        elif self._view is None and self._beats % 2:
+            addresses += self._list_peers().values()
+        for address in dict.fromkeys(addresses):
+            if address and address != self._me.address:
+                yield SendHeartbeat(address, self.make_heartbeat())
+
+    def make_heartbeat(self):
+        """Return this VM's heartbeat as of now."""
+        number, leader = self._promised, ""
+        if self._view is not None:
+            number, leader = self._view.epoch
+        return membership.Heartbeat(
+            self._me,
+            number,
+            leader,
+            self._echo,
+            self._is_leaving,
+            max((base.number for base in self._bases), default=0),
+        )
+
+    def _seek_larger_cell(self):
+        """Look in turn at the listed VMs that are not in the view."""
+        if self._beats % ABDICATE_EVERY_HEARTBEATS:
+            return
+        names = self._leadership.view.names
+        outside = [
+            address
+            for name, address in sorted(self._list_peers().items())
+            if name not in names
+        ]
+        if outside:
+            turn = self._beats // ABDICATE_EVERY_HEARTBEATS
+            address = outside[turn % len(outside)]
+            yield SendHeartbeat(address, self._make_inquiry())
+
+    def _make_inquiry(self):
+        """Return a heartbeat that asks without joining."""
+        number = self._leadership.view.number
+        return membership.Heartbeat(
+            self._me, number, self._me.name, 0.0, False, 0, inquiry=True
+        )
+
+    def _consider_abdication(self, now, answer):
+        """Follow another leader if its cell is larger, or first."""
+        other = answer.view
+        mine = self._leadership.view
+        if other is None or other.leader == self._me.name:
+            return False
+        ours = (len(mine.members), _reverse(mine.leader))
+        theirs = (len(other.members), _reverse(other.leader))
+        if theirs <= ours:
+            return False
+        self._resign()
+        self._contact_at = now
+        self._leader_address = answer.leader_address
+        return True
+
+    def _resign(self):
+        self._bases = self._leadership.list_announced()
+        self._seen = max(self._seen, self._leadership.view.number)
+        self._drop_rights()
+        self._view = None
+        self._leader_address = ""
+
+
+def _reverse(name):
+    """Return a key that sorts names from last to first."""
+    return [-ord(letter) for letter in name] + [1]
--- a/src/geraniumridge/_internal/network/wire.py
+++ b/src/geraniumridge/_internal/network/wire.py
@@ -5,6 +5,7 @@
 """
 
 import pathlib
+import typing
 
 import thriftpy2
 from thriftpy2.protocol import cybin
@@ -45,3 +46,54 @@
         return utils.deserialize(message, data, _FACTORY)
     except Exception as error:
         raise exceptions.ProtocolError(f"message {number}: {error!r}")
+
+
+def pack(value):
+    """Return the message of a named tuple of the same name.
+
+    Parameters
+    ----------
+    value : object
+        A named tuple, a sequence of them, or a scalar.
+
+    Returns
+    -------
+    object
+        The thrift struct, list or scalar.
+    """
+    if isinstance(value, tuple) and hasattr(value, "_asdict"):
+        kind = getattr(messages, type(value).__name__)
+        fields = value._asdict().items()
+        return kind(**{name: pack(item) for name, item in fields})
+    if isinstance(value, (list, tuple)):
+        return [pack(item) for item in value]
+    return value
+
+
+def unpack(kind, message):
+    """Return the named tuple of a message; extra fields are ignored.
+
+    Raises
+    ------
+    exceptions.ProtocolError
+        If a field without a default is missing.
+    """
+    values = {}
+    hints = typing.get_type_hints(kind)
+    for name in kind._fields:
+        value = getattr(message, name, None)
+        if value is not None:
+            values[name] = _unpack_value(hints[name], value)
+    try:
+        return kind(**values)
+    except TypeError as error:
+        raise exceptions.ProtocolError(f"{kind.__name__}: {error}")
+
+
+def _unpack_value(hint, value):
+    for kind in (hint, *typing.get_args(hint)):
+        if isinstance(kind, type) and hasattr(kind, "_fields"):
+            if isinstance(value, list):
+                return tuple(unpack(kind, item) for item in value)
+            return unpack(kind, value)
+    return tuple(value) if isinstance(value, list) else value
--- a/src/geraniumridge/_internal/network/wire.thrift
+++ b/src/geraniumridge/_internal/network/wire.thrift
@@ -47,7 +47,6 @@
 
 struct ConfigQuery {
   1: i64 after_version,
-  2: string hash,
 }
 
 // Either the changes after the asked version or a whole snapshot.
@@ -69,31 +68,45 @@
   3: list<Member> members,
 }
 
+struct Base {
+  1: i64 number,
+  2: list<string> names,
+}
+
+// Fields from 20 on ride along and are no part of the cell's protocol.
 struct Heartbeat {
   1: Member sender,
   2: i64 number,
   3: string leader,
   4: double echo,
   5: bool leaving,
-  6: i64 config_version,
-  7: i64 directory_version,
-  8: bool config_pinned,
+  6: i64 base_number,
+  7: bool inquiry,
+  20: i64 config_version,
+  21: i64 terms_revision,
+  22: i64 directory_version,
 }
 
 struct HeartbeatAnswer {
   1: bool granted,
-  2: View view,
-  3: bool active,
-  4: double lease_s,
-  5: double share,
-  6: double stamp,
-  7: View base,
-  8: i64 config_version,
-  9: i64 directory_version,
-  10: string leader_address,
-  11: double evidence_age_s,
-  12: string terms,
-  13: string evidence_source,
+  2: i64 number,
+  3: string leader_address,
+  4: bool resigned,
+  5: View view,
+  6: bool active,
+  7: double lease_s,
+  8: double share,
+  9: bool speaks,
+  10: double stamp,
+  11: list<Base> bases,
+  20: i64 config_version,
+  21: i64 terms_revision,
+  22: i64 directory_version,
+  23: double contact_age_s,
+  24: double evidence_age_s,
+  25: string terms,
+  26: double promise_age_s,
+  27: map<string, i64> promised,
 }
 
 struct Claim {
@@ -104,32 +117,33 @@
 struct ClaimAnswer {
   1: bool accepted,
   2: i64 number,
-  3: string leader,
-  4: string leader_address,
-  5: View base,
-  6: View newest,
+  3: string leader_address,
+  4: i64 epoch_number,
+  5: string epoch_leader,
+  6: bool leaving,
+  7: list<Base> bases,
+  20: Member sender,
 }
 
 // What a cell tells of itself to the other cells.
 struct CellReport {
-  1: string cell,
-  2: string domain,
+  1: string domain,
+  2: i64 version,
   3: View view,
   4: i64 config_version,
   5: i64 confirmed_version,
-  6: bool platform_reachable,
-  7: i64 terms_revision,
-  8: string terms,
-  9: double age_s,
 }
 
-struct Exchange {
-  1: list<CellReport> reports,
+struct CellMark {
+  1: string domain,
+  2: i64 version,
 }
 
-struct Directory {
-  1: i64 version,
-  2: list<CellReport> reports,
+// Reports that the other side lacks, against marks of what it has.
+struct Exchange {
+  1: string domain,
+  2: list<CellMark> marks,
+  3: list<CellReport> reports,
 }
 
 struct Draw {
--- a/src/geraniumridge/_internal/plugins/__init__.py
+++ b/src/geraniumridge/_internal/plugins/__init__.py
@@ -8,6 +8,7 @@
 from geraniumridge._internal.plugins import metrics  # noqa: F401
 from geraniumridge._internal.plugins import peers  # noqa: F401
 from geraniumridge._internal.plugins import membership  # noqa: F401,H306
+from geraniumridge._internal.plugins import directory  # noqa: F401,H306
 from geraniumridge._internal.plugins import configuration  # noqa: F401,H306
 from geraniumridge._internal.plugins import terms  # noqa: F401
 from geraniumridge._internal.plugins import durability  # noqa: F401,H306
--- a/src/geraniumridge/_internal/plugins/configuration.py
+++ b/src/geraniumridge/_internal/plugins/configuration.py
@@ -1,4 +1,9 @@
-"""Follows the operators' configuration."""
+"""Follows the operators' configuration.
+
+The leader of a cell follows the platform; its members fetch changes
+from it when a heartbeat's answer names a higher version. A cell cut
+off from the platform learns through any other cell.
+"""
 
 import logging
 
@@ -11,10 +16,13 @@
 from geraniumridge._internal.models import config
 from geraniumridge._internal.network import configstore
 from geraniumridge._internal.network import platform
+from geraniumridge._internal.network import wire
 
 logger = logging.getLogger(__name__)
 
-RETRY_S = 0.5
+RETRY_S = 0.25
+CALL_TIMEOUT_S = 2.0
+MAX_CHANGES_PER_ANSWER = 200
 
 
 @registry.PLUGINS.register("configuration")
@@ -28,6 +36,9 @@
             self._settings.platform.timeout_s,
         )
         self._chain = chain.ConfigChain()
+        self._needed_version = 0
+        self._fetching = False
+        self._accepted_at = trio.current_time()
 
     @property
     def document(self):
@@ -39,9 +50,40 @@
         """Its version."""
         return self._chain.version
 
+    @property
+    def is_current(self):
+        """Whether a version is held, as high as the leader's."""
+        return self.version > 0 and self.version >= self._needed_version
+
     async def start(self, nursery):
-        """Start following the platform."""
-        nursery.start_soon(self._follow)
+        """Start following."""
+        self._nursery = nursery
+        self._directory = self._kernel.get("directory")
+        self._membership = self._kernel.get("membership")
+        self._peers = self._kernel.get("peers")
+        self._peers.handle(wire.messages.ConfigQuery, self._answer_query)
+        self._membership.add_rider(self)
+        nursery.start_soon(self._follow_platform)
+        nursery.start_soon(self._follow_cells)
+
+    def load_heartbeat(self, message):
+        """Nothing: the directory puts the version on."""
+
+    def take_heartbeat(self, message):
+        """Learn of a member with a higher version."""
+        if (message.config_version or 0) > self.version:
+            self._start_fetch(message.sender.address)
+
+    def load_answer(self, heartbeat, message):
+        """Put the version on the leader's answer."""
+        message.config_version = self.version
+
+    def take_answer(self, message, sent_at, address):
+        """Fetch from the leader if it is ahead."""
+        version = message.config_version or 0
+        self._needed_version = max(self._needed_version, version)
+        if version > self.version:
+            self._start_fetch(address)
 
     def find_team(self, key_hash):
         """Return the team of a key's hash, None if withdrawn."""
@@ -50,10 +92,35 @@
         entry = self.document.keys.get(key_hash)
         return entry and entry.team
 
-    async def _follow(self):
+    def accept(self, change):
+        """Take the next change and put it in force."""
+        problems = self._chain.accept(change)
+        for problem in problems:
+            logger.error(
+                "change ignored",
+                extra={
+                    "event": "change_ignored",
+                    "version": change.version,
+                    "problem": problem,
+                },
+            )
+        self._note_version()
+
+    def _note_version(self):
+        logger.info(
+            "configuration in force",
+            extra={"event": "config_version", "version": self.version},
+        )
+        self._kernel.get("metrics").set_gauge("config_version", self.version)
+
+    async def _follow_platform(self):
         while True:
+            if not self._membership.is_relay and self.version > 0:
+                await trio.sleep(RETRY_S)
+                continue
             try:
                 await self._take_next()
+                self._directory.note_contact()
             except exceptions.PlatformError as error:
                 logger.debug("no configuration", extra={"reason": str(error)})
                 await trio.sleep(RETRY_S)
@@ -66,25 +133,112 @@
 
     async def _take_next(self):
         if self.version == 0:
-            entry = await self._platform.get(configstore.SNAPSHOT_KEY)
-            if entry.value is not None:
-                self._chain.load_snapshot(chain.decode_snapshot(entry.value))
+            await self._take_snapshot()
+        await self._restore_platform()
         key = configstore.make_change_key(self.version + 1)
         wait_s = self._settings.platform.watch_s
         entry = await self._platform.watch(key, 0, wait_s)
+        if entry.value is None:
+            return
+        change = chain.decode_change(entry.value)
+        # A cell may have brought the change while the watch waited.
+        if change.version == self.version + 1:
+            self.accept(change)
+
+    async def _take_snapshot(self):
+        entry = await self._platform.get(configstore.SNAPSHOT_KEY)
         if entry.value is not None:
-            self.accept(chain.decode_change(entry.value))
+            snapshot = chain.decode_snapshot(entry.value)
+            if self._chain.load_snapshot(snapshot):
+                self._note_version()
 
-    def accept(self, change):
-        """Take the next change and put it in force."""
-        problems = self._chain.accept(change)
-        for problem in problems:
-            logger.error(
-                "change ignored",
-                extra={"version": change.version, "problem": problem},
+    async def _restore_platform(self):
+        """Write accepted changes back that the platform has lost."""
+        version = self.version
+        lost = []
+        while version > 0:
+            change = self._chain.find_change(version)
+            if change is None:
+                break
+            key = configstore.make_change_key(version)
+            entry = await self._platform.get(key)
+            if entry.value is not None:
+                self._check_chain(change, entry.value)
+                break
+            lost.append(change)
+            version -= 1
+        for change in reversed(lost):
+            await self._write_back(change)
+
+    async def _write_back(self, change):
+        key = configstore.make_change_key(change.version)
+        try:
+            await self._platform.put(key, chain.encode_change(change), 0)
+        except exceptions.ConflictError as error:
+            self._check_chain(change, error.current)
+            return
+        logger.warning(
+            "platform had lost a change; written back",
+            extra={"event": "config_restored", "version": change.version},
+        )
+
+    def _check_chain(self, change, stored):
+        """Report a platform whose chain is not the accepted one."""
+        if chain.decode_change(stored).id != change.id:
+            raise exceptions.ConfigurationError(
+                f"version {change.version} in the platform is not the one"
+                " in force; the VMs keep what they accepted"
             )
-        logger.info(
-            "configuration in force",
-            extra={"event": "config_version", "version": change.version},
+
+    async def _follow_cells(self):
+        """Fetch from another cell whose version is higher."""
+        while True:
+            await trio.sleep(self._settings.cell.exchange_s)
+            if self._membership.is_relay:
+                member = self._directory.find_newest_config()
+                if member is not None:
+                    self._start_fetch(member.address)
+
+    def _start_fetch(self, address):
+        if not self._fetching:
+            self._fetching = True
+            self._nursery.start_soon(self._fetch, address)
+
+    async def _fetch(self, address):
+        try:
+            message = wire.messages.ConfigQuery(after_version=self.version)
+            answer = await self._peers.call(address, message, CALL_TIMEOUT_S)
+            self._take_answer(answer)
+        except exceptions.GeraniumridgeError as error:
+            logger.warning(
+                "configuration not fetched",
+                extra={"event": "config_fetch_failed", "reason": str(error)},
+            )
+        finally:
+            self._fetching = False
+
+    def _take_answer(self, answer):
+        if answer.snapshot:
+            snapshot = chain.decode_snapshot(answer.snapshot)
+            if self._chain.load_snapshot(snapshot):
+                self._note_version()
+        for text in answer.changes or []:
+            change = chain.decode_change(text)
+            if change.version == self.version + 1:
+                self.accept(change)
+
+    async def _answer_query(self, message):
+        changes = self._chain.list_changes_after(message.after_version)
+        if changes is None:
+            snapshot = chain.encode_snapshot(self._chain.snapshot)
+            return wire.messages.ConfigAnswer(
+                changes=[], snapshot=snapshot, version=self.version
+            )
+        return wire.messages.ConfigAnswer(
+            changes=[
+                chain.encode_change(change)
+                for change in changes[:MAX_CHANGES_PER_ANSWER]
+            ],
+            snapshot="",
+            version=self.version,
         )
-        self._kernel.get("metrics").set_gauge("config_version", self.version)
--- /dev/null
+++ b/src/geraniumridge/_internal/plugins/directory.py
@@ -0,0 +1,217 @@
+"""What is known of the other domains' cells.
+
+Leaders exchange reports with a member of another cell at intervals
+and name what they have, so that only news travels; members fetch from
+their leader when its directory has moved on.
+"""
+
+import logging
+import random
+
+import trio
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.kernel import kernel
+from geraniumridge._internal.kernel import registry
+from geraniumridge._internal.models import membership
+from geraniumridge._internal.network import wire
+
+logger = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 1.0
+VERSIONS_PER_VIEW = 1_000_000
+PARTNERS_PER_EXCHANGE = 2
+
+
+@registry.PLUGINS.register("directory")
+class Directory(kernel.Plugin):
+    """Reports of every cell, each at its newest version."""
+
+    def __init__(self, owner):
+        super().__init__(owner)
+        self._random = random.Random()
+        self._reports = {}
+        self._views = {}
+        self._version = 0
+        self._member_versions = {}
+        self._contact_at = trio.current_time()
+        self._nursery = None
+
+    @property
+    def domains(self):
+        """Domains with a known cell."""
+        return list(self._reports)
+
+    @property
+    def contact_age_s(self):
+        """Seconds since the platform or another domain was reached."""
+        return trio.current_time() - self._contact_at
+
+    def note_contact(self, age_s=0.0):
+        """Note that somebody outside the domain was reached."""
+        at = trio.current_time() - age_s
+        self._contact_at = max(self._contact_at, at)
+
+    def find_view(self, domain):
+        """Return the newest view known of a domain, or None."""
+        return self._views.get(domain)
+
+    def get_confirmed(self, domain):
+        """Return the version that a whole domain is known to hold."""
+        report = self._reports.get(domain)
+        return report.confirmed_version if report else 0
+
+    def find_newest_config(self):
+        """Return a `Member` with a newer configuration, or None."""
+        own = self._kernel.get("configuration").version
+        for domain, report in self._reports.items():
+            if report.config_version > own and domain in self._views:
+                members = self._views[domain].members
+                return self._random.choice(members) if members else None
+        return None
+
+    async def start(self, nursery):
+        """Start exchanging."""
+        self._nursery = nursery
+        self._configuration = self._kernel.get("configuration")
+        self._membership = self._kernel.get("membership")
+        self._peers = self._kernel.get("peers")
+        self._peers.handle(wire.messages.Exchange, self._answer_exchange)
+        self._membership.add_rider(self)
+        nursery.start_soon(self._run)
+
+    def load_heartbeat(self, message):
+        """Put this VM's versions on a heartbeat."""
+        message.config_version = self._configuration.version
+        message.directory_version = self._version
+
+    def take_heartbeat(self, message):
+        """Note a member's configuration version."""
+        name = message.sender.name
+        self._member_versions[name] = message.config_version or 0
+
+    def load_answer(self, heartbeat, message):
+        """Put the leader's versions on its answer."""
+        message.directory_version = self._version
+        message.contact_age_s = self.contact_age_s
+
+    def take_answer(self, message, sent_at, address):
+        """Fetch from the leader what this VM lacks."""
+        age_s = (message.contact_age_s or 0.0) + (
+            trio.current_time() - sent_at
+        )
+        self.note_contact(age_s)
+        if (message.directory_version or 0) != self._version:
+            version = message.directory_version
+            self._nursery.start_soon(self._fetch, address, version)
+
+    async def _fetch(self, address, version):
+        if await self._exchange(address):
+            self._version = version
+
+    async def _run(self):
+        while True:
+            self._report_own()
+            if self._membership.cell.is_leader:
+                for address in self._choose_partners():
+                    self._nursery.start_soon(self._meet, address)
+            await trio.sleep(self._settings.cell.exchange_s)
+
+    async def _meet(self, address):
+        if await self._exchange(address):
+            self.note_contact()
+
+    def _choose_partners(self):
+        """Return addresses in as many other domains as are asked."""
+        own = self._settings.vm.domain
+        known = {
+            domain: [member.address for member in view.members]
+            for domain, view in self._views.items()
+        }
+        for domain, members in self._membership.domains.items():
+            known.setdefault(domain, []).extend(members.values())
+        others = [domain for domain in known if domain != own]
+        self._random.shuffle(others)
+        for domain in others[:PARTNERS_PER_EXCHANGE]:
+            if known[domain]:
+                yield self._random.choice(known[domain])
+
+    def _report_own(self):
+        """Renew the report of this VM's own cell if it leads it."""
+        view = self._membership.cell.view
+        if not self._membership.cell.is_leader:
+            return
+        domain = self._settings.vm.domain
+        report = wire.messages.CellReport(
+            domain=domain,
+            version=0,
+            view=wire.pack(view),
+            config_version=self._configuration.version,
+            confirmed_version=self._get_own_confirmed(view),
+        )
+        known = self._reports.get(domain)
+        if known is not None:
+            report.version = known.version
+            if report == known:
+                return
+        first = view.number * VERSIONS_PER_VIEW
+        report.version = max(first, report.version) + 1
+        self._take_reports([report])
+
+    def _get_own_confirmed(self, view):
+        own = self._configuration.version
+        others = [
+            self._member_versions.get(name, 0)
+            for name in view.names
+            if name != self._settings.vm.name
+        ]
+        return min([own, *others])
+
+    async def _exchange(self, address):
+        message = wire.messages.Exchange(
+            domain=self._settings.vm.domain,
+            marks=self._list_marks(),
+            reports=[
+                report
+                for domain, report in self._reports.items()
+                if domain == self._settings.vm.domain
+            ],
+        )
+        try:
+            answer = await self._peers.call(address, message, CALL_TIMEOUT_S)
+        except (exceptions.NetworkError, exceptions.RequestError) as error:
+            logger.debug("exchange failed", extra={"reason": str(error)})
+            return False
+        self._take_reports(answer.reports or [])
+        return True
+
+    async def _answer_exchange(self, message):
+        if message.domain != self._settings.vm.domain:
+            self.note_contact()
+        self._take_reports(message.reports or [])
+        theirs = {item.domain: item.version for item in message.marks or []}
+        news = [
+            report
+            for domain, report in self._reports.items()
+            if report.version > theirs.get(domain, 0)
+        ]
+        return wire.messages.Exchange(
+            domain=self._settings.vm.domain, marks=[], reports=news
+        )
+
+    def _list_marks(self):
+        return [
+            wire.messages.CellMark(domain=domain, version=report.version)
+            for domain, report in self._reports.items()
+        ]
+
+    def _take_reports(self, reports):
+        for report in reports:
+            known = self._reports.get(report.domain)
+            if known is not None and known.version >= report.version:
+                continue
+            self._reports[report.domain] = report
+            view = wire.unpack(membership.View, report.view)
+            self._views[report.domain] = view
+            if self._membership.cell.is_leader:
+                self._version += 1
--- a/src/geraniumridge/_internal/plugins/entry.py
+++ b/src/geraniumridge/_internal/plugins/entry.py
@@ -15,7 +15,8 @@
 from geraniumridge._internal.models import records
 from geraniumridge._internal.network import wire
 
-RETRY_PAUSE_S = 0.05
+FIRST_PAUSE_S = 0.02
+MAX_PAUSE_S = 0.32
 TERM_WAIT_S = 2.0
 DEFAULT_STALENESS_MS = 1_000
 
@@ -150,6 +151,7 @@
         deadline = self._get_deadline()
         self._budget.note_attempt()
         last = exceptions.UnavailableError("no target can serve the request")
+        pause_s = FIRST_PAUSE_S
         while True:
             for route in await self._list_routes(message, only_primary):
                 try:
@@ -158,12 +160,14 @@
                     if not _may_retry(error, repeatable):
                         raise
                     last = error
-                if not self._budget.take():
-                    raise last
                 self._metrics.count("retries")
-            if trio.current_time() + RETRY_PAUSE_S >= deadline:
+                if not self._budget.take():
+                    break
+            # After a pause a retry is no added load worth a budget.
+            if trio.current_time() + pause_s >= deadline:
                 raise last
-            await self._terms.wait_changed(RETRY_PAUSE_S)
+            await self._terms.wait_changed(pause_s)
+            pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
     async def _list_routes(self, message, only_primary):
         document = self._configuration.document
--- a/src/geraniumridge/_internal/plugins/membership.py
+++ b/src/geraniumridge/_internal/plugins/membership.py
@@ -1,61 +1,143 @@
-"""Which VMs there are and which of them owns what."""
+"""Which VMs there are and which of them owns what.
+
+The shell around `decisions.cell`: it carries heartbeats and claims
+over thrift, and hands on what rides along with them.
+"""
 
 import logging
-import typing
+import secrets
 
 import trio
 
+from geraniumridge._internal.decisions import cell
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.kernel import kernel
 from geraniumridge._internal.kernel import registry
+from geraniumridge._internal.models import membership
 from geraniumridge._internal.network import platform
+from geraniumridge._internal.network import wire
 from geraniumridge._internal.utils import rendezvous
 
 logger = logging.getLogger(__name__)
 
-LIST_EVERY_S = 1.0
-
-
-class Peer(typing.NamedTuple):
-    """A VM of the system."""
-
-    name: str
-    address: str
+LIST_EVERY_S = 2.0
+TICKS_PER_HEARTBEAT = 5
+STOP_POLL_S = 0.05
+RESIGN_HEARTBEATS = 3
 
 
 @registry.PLUGINS.register("membership")
 class Membership(kernel.Plugin):
-    """Placement over the VMs that the platform lists."""
+    """Placement over the members of each domain's view."""
 
     def __init__(self, owner):
         super().__init__(owner)
+        settings = self._settings
+        self._me = membership.Member(
+            settings.vm.name, secrets.token_hex(4), settings.listen.peers
+        )
+        self._cell = cell.Cell(
+            self._me,
+            settings.cell.heartbeat_s,
+            settings.cell.lease_s,
+            trio.current_time(),
+        )
+        self._cell.set_seeds(settings.cell.seeds)
         self._platform = platform.PlatformClient(
-            self._settings.platform.address,
-            self._settings.platform.timeout_s,
+            settings.platform.address, settings.platform.timeout_s
         )
-        self._domains = {}
         self._changed = trio.Event()
+        self._last_state = None
+        self._riders = []
+        self._domains = {}
+
+    @property
+    def cell(self):
+        """The decisions of this VM's cell."""
+        return self._cell
+
+    @property
+    def is_relay(self):
+        """Whether this VM is to ask the platform itself."""
+        now = trio.current_time()
+        return self._cell.is_leader or not self._cell.knows_leader(now)
+
+    @property
+    def domains(self):
+        """The platform's list: peer addresses by domain and name."""
+        return self._domains
+
+    def add_rider(self, rider):
+        """Let a plug-in put data on heartbeats and their answers.
+
+        Parameters
+        ----------
+        rider : object
+            With ``load_heartbeat(message)``, ``load_answer(heartbeat,
+            message)``, ``take_heartbeat(message)`` and
+            ``take_answer(message, sent_at, address)``.
+        """
+        self._riders.append(rider)
 
     async def start(self, nursery):
-        """Start following the list."""
+        """Start heartbeats."""
+        self._nursery = nursery
+        self._peers = self._kernel.get("peers")
+        self._directory = self._kernel.get("directory")
+        messages = wire.messages
+        self._peers.handle(messages.Heartbeat, self._answer_heartbeat)
+        self._peers.handle(messages.Claim, self._answer_claim)
         nursery.start_soon(self._follow_list)
+        nursery.start_soon(self._run)
+
+    async def drain(self):
+        """Leave the cell: hand over before going."""
+        was_leader = self._cell.is_leader
+        self._cell.leave()
+        heartbeat_s = self._settings.cell.heartbeat_s
+        if was_leader:
+            await trio.sleep(RESIGN_HEARTBEATS * heartbeat_s)
+        with trio.move_on_after(2 * self._settings.cell.lease_s):
+            while not self._cell.has_left:
+                await trio.sleep(STOP_POLL_S)
 
     def owns(self, name):
-        """Tell whether this VM owns a placement of its domain."""
-        peer = self.find_owner(self._settings.vm.domain, name)
-        return peer is not None and peer.name == self._settings.vm.name
+        """Tell whether this VM may act on a placement now."""
+        return self._cell.owns(trio.current_time(), name)
+
+    def get_share(self):
+        """Return the part of its domain's share that the view holds."""
+        return self._cell.get_share(trio.current_time())
+
+    def speaks(self):
+        """Tell whether this VM speaks for its domain."""
+        return self._cell.speaks(trio.current_time())
+
+    def find_view(self, domain):
+        """Return the newest view known of a domain, or None."""
+        if domain == self._settings.vm.domain and self._cell.view:
+            return self._cell.view
+        return self._directory.find_view(domain)
 
     def find_owner(self, domain, name):
-        """Return the `Peer` that owns a placement, or None."""
-        members = self._domains.get(domain, {})
-        owner = rendezvous.choose_node(name, members)
-        return members.get(owner)
+        """Return the `Member` that owns a placement, or None."""
+        view = self.find_view(domain)
+        if view is None:
+            return None
+        return view.find(rendezvous.choose_node(name, view.names))
+
+    def find_leader(self, domain):
+        """Return the `Member` that leads a domain's cell, or None."""
+        view = self.find_view(domain)
+        return view and view.find(view.leader)
 
     def find_vm(self, name):
-        """Return the `Peer` of a name, or None."""
-        for members in self._domains.values():
-            if name in members:
-                return members[name]
+        """Return the `Member` of a name in any view, or None."""
+        for domain in (self._settings.vm.domain, *self._directory.domains):
+            view = self.find_view(domain)
+            found = view and view.find(name)
+            if found:
+                return found
         return None
 
     async def wait_changed(self, timeout_s):
@@ -63,20 +145,117 @@
         with trio.move_on_after(timeout_s):
             await self._changed.wait()
 
+    async def _run(self):
+        pause_s = self._settings.cell.heartbeat_s / TICKS_PER_HEARTBEAT
+        while True:
+            for action in list(self._cell.tick(trio.current_time())):
+                self._send(action)
+            self._note_changes()
+            await trio.sleep(pause_s)
+
+    def _send(self, action):
+        if isinstance(action, cell.SendHeartbeat):
+            self._nursery.start_soon(
+                self._send_heartbeat, action.address, action.heartbeat
+            )
+        else:
+            self._nursery.start_soon(
+                self._send_claim, action.address, action.claim
+            )
+
+    async def _send_heartbeat(self, address, heartbeat):
+        message = wire.pack(heartbeat)
+        for rider in self._riders:
+            rider.load_heartbeat(message)
+        sent_at = trio.current_time()
+        try:
+            answer = await self._call(address, message)
+            unpacked = wire.unpack(membership.HeartbeatAnswer, answer)
+        except (exceptions.NetworkError, exceptions.RequestError) as error:
+            logger.debug("heartbeat failed", extra={"reason": str(error)})
+            return
+        now = trio.current_time()
+        again = self._cell.take_heartbeat_answer(
+            now, sent_at, address, unpacked
+        )
+        if unpacked.granted:
+            for rider in self._riders:
+                rider.take_answer(answer, sent_at, address)
+        self._note_changes()
+        if again and self._cell.leader_address:
+            await self._send_heartbeat(
+                self._cell.leader_address, self._cell.make_heartbeat()
+            )
+
+    async def _send_claim(self, address, claim):
+        try:
+            answer = await self._call(address, wire.pack(claim))
+            unpacked = wire.unpack(membership.ClaimAnswer, answer)
+            sender = wire.unpack(membership.Member, answer.sender)
+        except (exceptions.NetworkError, exceptions.RequestError) as error:
+            logger.debug("claim failed", extra={"reason": str(error)})
+            return
+        self._cell.take_claim_answer(
+            trio.current_time(), claim.number, sender, unpacked
+        )
+
+    async def _call(self, address, message):
+        timeout_s = self._settings.cell.lease_s / 2
+        return await self._peers.call(address, message, timeout_s)
+
+    async def _answer_heartbeat(self, message):
+        heartbeat = wire.unpack(membership.Heartbeat, message)
+        answer = self._cell.take_heartbeat(trio.current_time(), heartbeat)
+        packed = wire.pack(answer)
+        if answer.granted:
+            for rider in self._riders:
+                rider.take_heartbeat(message)
+                rider.load_answer(message, packed)
+        return packed
+
+    async def _answer_claim(self, message):
+        claim = wire.unpack(membership.Claim, message)
+        answer = self._cell.take_claim(trio.current_time(), claim)
+        packed = wire.pack(answer)
+        packed.sender = wire.pack(self._me)
+        self._note_changes()
+        return packed
+
+    def _note_changes(self):
+        view = self._cell.view
+        now = trio.current_time()
+        acts = self._cell.owns(now, "") or self._cell.get_share(now)
+        state = (view and view.epoch, self._cell.is_leader, bool(acts))
+        if state == self._last_state:
+            return
+        self._last_state = state
+        self._changed.set()
+        self._changed = trio.Event()
+        logger.info(
+            "view changed",
+            extra={
+                "event": "view_changed",
+                "number": view and view.number,
+                "leader": view and view.leader,
+                "members": sorted(view.names) if view else [],
+            },
+        )
+
     async def _follow_list(self):
         while True:
-            try:
-                self._take_list(await self._platform.list_vms())
-            except exceptions.PlatformError as error:
-                logger.debug("no list of VMs", extra={"reason": str(error)})
+            if self.is_relay or not self._domains:
+                await self._read_list()
             await trio.sleep(LIST_EVERY_S)
 
-    def _take_list(self, entries):
+    async def _read_list(self):
+        try:
+            entries = await self._platform.list_vms()
+        except exceptions.GeraniumridgeError as error:
+            logger.debug("no list of VMs", extra={"reason": str(error)})
+            return
         domains = {}
         for item in entries:
-            members = domains.setdefault(item.domain, {})
-            members[item.name] = Peer(item.name, item.address)
-        if domains != self._domains:
-            self._domains = domains
-            self._changed.set()
-            self._changed = trio.Event()
+            domains.setdefault(item.domain, {})[item.name] = item.address
+        self._domains = domains
+        listed = domains.get(self._settings.vm.domain, {})
+        self._cell.set_listed(trio.current_time(), listed)
--- a/src/geraniumridge/_internal/plugins/operators.py
+++ b/src/geraniumridge/_internal/plugins/operators.py
@@ -51,8 +51,10 @@
 @PAGES.register("/health")
 def show_health(owner):
     """Tell the balancer whether to send callers here."""
-    version = owner.get("configuration").version
-    ready = owner.is_started and not owner.is_stopping and version > 0
+    current = owner.get("configuration").is_current
+    in_cell = owner.get("membership").cell.view is not None
+    ready = owner.is_started and not owner.is_stopping
+    ready = ready and current and in_cell
     status = 200 if ready else 503
     return http.make_json_response({"ready": ready}, status)
 
@@ -67,11 +69,18 @@
 def show_status(owner):
     """Return what this VM knows and owns."""
     settings = owner.settings
+    members = owner.get("membership")
+    view = members.cell.view
     return http.make_json_response(
         {
             "vm": settings.vm.name,
             "domain": settings.vm.domain,
             "config_version": owner.get("configuration").version,
+            "view": f"{view.number} {view.leader}" if view else "",
+            "is_leader": members.cell.is_leader,
+            "members": sorted(view.names) if view else [],
+            "share": round(members.get_share(), 3),
+            "contact_age_s": round(owner.get("directory").contact_age_s, 3),
             "connections": owner.get("front").connection_count,
             "targets": owner.get("gateway").get_state(),
         }
--- a/src/geraniumridge/_internal/plugins/terms.py
+++ b/src/geraniumridge/_internal/plugins/terms.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import msgspec
 import trio
 
 from geraniumridge._internal.decisions import authority
@@ -46,8 +47,37 @@
 
     async def start(self, nursery):
         """Start reading."""
+        self._directory = self._kernel.get("directory")
+        self._membership = self._kernel.get("membership")
+        self._membership.add_rider(self)
         nursery.start_soon(self._follow)
 
+    def load_heartbeat(self, message):
+        """Put the revision that this VM holds on a heartbeat."""
+        message.terms_revision = self._authority.revision
+
+    def take_heartbeat(self, message):
+        """Nothing: members do not teach their leader terms."""
+
+    def load_answer(self, heartbeat, message):
+        """Put evidence on the leader's answer, and news if any."""
+        now = trio.current_time()
+        message.evidence_age_s = self._authority.get_evidence_age(now)
+        message.terms_revision = self._authority.revision
+        if heartbeat.terms_revision != self._authority.revision:
+            groups = decode.encode(self._authority.record.groups)
+            message.terms = msgspec.json.encode(groups).decode()
+
+    def take_answer(self, message, sent_at, address):
+        """Take the leader's evidence, aged from the heartbeat on."""
+        record = None
+        if message.terms:
+            record = decode_record(msgspec.json.decode(message.terms))
+        elif message.terms_revision != self._authority.revision:
+            return
+        read_at = sent_at - message.evidence_age_s
+        self.note(read_at, message.terms_revision, record)
+
     async def wait_changed(self, timeout_s):
         """Wait for a newer record, or for a while."""
         with trio.move_on_after(timeout_s):
@@ -105,7 +135,9 @@
     async def _follow(self):
         while True:
             try:
-                await self.read()
+                if self._membership.is_relay:
+                    await self.read()
+                    self._directory.note_contact()
             except exceptions.PlatformError as error:
                 logger.debug("no terms", extra={"reason": str(error)})
             await trio.sleep(self._settings.authority.read_every_s)
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Shared helpers of the tests."""
--- /dev/null
+++ b/tests/unit/decisions/test_cell.py
@@ -0,0 +1,201 @@
+"""Cells under delayed, lost, repeated and crossed messages."""
+
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from lib import cells
+
+HEAL_S = 30.0
+
+
+def test_fresh_cell_becomes_whole_within_a_few_seconds():
+    world = cells.World(3)
+    world.run(4.0)
+    assert world.is_whole()
+
+
+def test_members_death_moves_its_placements():
+    world = cells.World(3)
+    world.run(4.0)
+    victim = next(
+        name
+        for name, item in world.cells.items()
+        if item.owns(world.now, cells.KEYS[0])
+    )
+    world.kill(victim)
+    world.run(8.0)
+    owners = [
+        name
+        for name, item in world.cells.items()
+        if item.owns(world.now, cells.KEYS[0])
+    ]
+    assert len(owners) == 1
+    share = world.cells[owners[0]].get_share(world.now)
+    assert share == pytest.approx(2 / 3)
+    world.listed.remove(victim)
+    world.publish()
+    world.run(20.0)
+    assert world.is_whole()
+
+
+def test_frozen_leader_does_nothing_when_it_wakes():
+    world = cells.World(3)
+    world.run(4.0)
+    leader = next(n for n, item in world.cells.items() if item.is_leader)
+    world.frozen.add(leader)
+    world.run(10.0)
+    others = [item for n, item in world.cells.items() if n != leader]
+    assert sum(item.owns(world.now, cells.KEYS[0]) for item in others) == 1
+    world.frozen.discard(leader)
+    world.check()
+    world.run(HEAL_S)
+    assert world.is_whole()
+
+
+def test_halves_of_a_split_never_hold_more_than_the_whole():
+    world = cells.World(4)
+    world.run(4.0)
+    for left in ("vm-0", "vm-1"):
+        for right in ("vm-2", "vm-3"):
+            world.cut.add(frozenset((left, right)))
+    world.run(20.0)
+    for item in world.cells.values():
+        assert item.get_share(world.now) == 0.5
+    assert not any(item.speaks(world.now) for item in world.cells.values())
+    world.cut.clear()
+    world.run(HEAL_S)
+    assert world.is_whole()
+
+
+def test_resigned_leader_is_replaced_without_waiting_for_its_lease():
+    world = cells.World(3)
+    world.run(6.0)
+    leader = next(n for n, item in world.cells.items() if item.is_leader)
+    world.cells[leader].leave()
+    world.run(1.0)
+    world.kill(leader)
+    world.run(1.0)
+    owners = [i for i in world.cells.values() if i.owns(world.now, "x")]
+    assert len(owners) == 1
+
+
+def test_leaving_member_hands_over_and_share_stays_whole():
+    world = cells.World(3)
+    world.run(6.0)
+    name = next(n for n, item in world.cells.items() if not item.is_leader)
+    world.cells[name].leave()
+    world.run(2.0)
+    assert world.cells[name].has_left
+    world.kill(name)
+    world.listed.remove(name)
+    world.publish()
+    world.run(2.0)
+    assert world.is_whole()
+
+
+def test_restarted_vm_comes_back_into_the_whole():
+    world = cells.World(3)
+    world.run(6.0)
+    for name in list(world.cells):
+        world.kill(name)
+        world.run(1.0)
+        world.boot(name)
+        world.run(HEAL_S)
+        assert world.is_whole(), name
+
+
+pauses = strategies.sampled_from((0.0, 0.2, 0.5, 1.0, 2.5, 4.0))
+
+
+class CellMachine(stateful.RuleBasedStateMachine):
+    """Any order of faults keeps the world's safety checks."""
+
+    @stateful.initialize(
+        count=strategies.integers(2, 5),
+        number=strategies.integers(0, 1 << 16),
+    )
+    def begin(self, count, number):
+        self.world = cells.World(count, number)
+        self.world.run(4.0)
+
+    @stateful.rule(seconds=pauses)
+    def wait(self, seconds):
+        self.world.run(seconds)
+
+    @stateful.rule(
+        delay_s=strategies.sampled_from((0.02, 0.4, 1.5)),
+        loss=strategies.sampled_from((0.0, 0.1, 0.4)),
+        repeat=strategies.sampled_from((0.0, 0.3)),
+    )
+    def disturb(self, delay_s, loss, repeat):
+        self.world.max_delay_s = delay_s
+        self.world.loss = loss
+        self.world.repeat = repeat
+
+    @stateful.rule(data=strategies.data(), pause=pauses)
+    def split(self, data, pause):
+        names = sorted(self.world.listed)
+        side = data.draw(strategies.sets(strategies.sampled_from(names)))
+        self.world.cut = {
+            frozenset((left, right))
+            for left in side
+            for right in names
+            if right not in side
+        }
+        self.world.run(pause)
+
+    @stateful.rule()
+    def heal(self):
+        self.world.cut = set()
+
+    @stateful.rule(data=strategies.data(), pause=pauses)
+    def freeze_or_wake(self, data, pause):
+        name = data.draw(strategies.sampled_from(sorted(self.world.listed)))
+        if name in self.world.frozen:
+            self.world.frozen.discard(name)
+            self.world.check()
+        elif name in self.world.cells:
+            self.world.frozen.add(name)
+        self.world.run(pause)
+
+    @stateful.rule(data=strategies.data(), pause=pauses)
+    def kill_or_boot(self, data, pause):
+        name = data.draw(strategies.sampled_from(sorted(self.world.listed)))
+        if name in self.world.cells:
+            self.world.kill(name)
+        else:
+            self.world.boot(name)
+        self.world.run(pause)
+
+    @stateful.rule(data=strategies.data())
+    def leave(self, data):
+        name = data.draw(strategies.sampled_from(sorted(self.world.listed)))
+        if name in self.world.cells and name not in self.world.frozen:
+            self.world.cells[name].leave()
+
+
+def run_machine(examples, steps):
+    """Run the state machine with a number of examples."""
+    stateful.run_state_machine_as_test(
+        CellMachine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_safety_under_any_order_of_faults():
+    run_machine(80, 30)
+
+
+@pytest.mark.slow
+def test_safety_under_any_order_of_faults_for_long():
+    run_machine(2_000, 50)
