Count a returning member anew; admit requests by per-domain buckets

Cause: heartbeats from before a freeze kept a VM in its old leader's view although it had led a cell of its own; both leaders counted it, and a limiter's placement was held twice. Ruled out: the wait after a claim (right as it was) and the activation of views. Change: rights given up bump the promised number, answers sent before that are dropped, and a member that followed somebody else is counted again only after two leases. Buckets per team and domain hand out batches that count against the burst until closed.

--- a/src/geraniumridge/_internal/decisions/cell.py
+++ b/src/geraniumridge/_internal/decisions/cell.py
@@ -74,6 +74,8 @@
         self._share = 0.0
         self._speaks = False
         self._echo = 0.0
+        self._dropped_at = -math.inf
+        self._continuity = 0
         self._bases = ()
         self._leader_address = ""
         self._contact_at = now
@@ -100,6 +102,11 @@
         """Whether this VM leads its cell."""
         return self._leadership is not None
 
+    @property
+    def continuity(self):
+        """Grows whenever others may have acted in this VM's place."""
+        return self._continuity
+
     @property
     def has_left(self):
         """Whether a leaving VM is out of the view."""
@@ -136,13 +143,15 @@
 
     def owns(self, now, key):
         """Tell whether this VM may act on a placement now."""
-        if not self._may_act(now):
-            return False
-        view, prior = self.view, self._get_prior()
-        names = [item for item in (view, prior) if item is not None]
+        return self._may_act(now) and self.is_placed(key)
+
+    def is_placed(self, key):
+        """Tell whether every view in use places a key on this VM."""
+        views = (self.view, self._get_prior())
         return all(
-            rendezvous.choose_node(key, item.names) == self._me.name
-            for item in names
+            rendezvous.choose_node(key, view.names) == self._me.name
+            for view in views
+            if view is not None
         )
 
     def get_share(self, now):
@@ -155,11 +164,11 @@
         """Tell whether this VM leads most of its domain's VMs."""
         return self._leadership is not None and self._leadership.speaks(now)
 
-    def leave(self):
+    def leave(self, now):
         """Begin to leave: the leader resigns, a member asks to go."""
         self._is_leaving = True
         if self._leadership is not None:
-            self._resign()
+            self._resign(now)
 
     def tick(self, now):
         """Do what is due and yield the messages to send."""
@@ -210,6 +219,9 @@
             return self._consider_abdication(now, answer)
         if not answer.granted:
             return self._take_hint(now, address, answer)
+        if sent_at <= self._dropped_at:
+            # The rights that it renews were given up meanwhile.
+            return False
         view = answer.view
         if self._view is not None and view.epoch < self._view.epoch:
             return False
@@ -233,7 +245,7 @@
             return membership.ClaimAnswer(False, seen, self._get_hint(now))
         self._promised = claim.number
         number, leader = self._view.epoch if self._view else (0, "")
-        self._drop_rights()
+        self._drop_rights(now)
         self._view = None
         self._contact_at = now
         self._leader_address = claim.sender.address
@@ -304,6 +316,7 @@
             held = self._active and now < self._lease_until
             if not (same and (held or self._prior is not None)):
                 self._prior = None
+                self._continuity += 1
             elif self._active:
                 self._prior = self._view
             if not same:
@@ -315,7 +328,7 @@
         self._promised = max(self._promised, view.number)
         return changed
 
-    def _drop_rights(self):
+    def _drop_rights(self, now):
         self._leadership = None
         self._candidacy = None
         self._active = False
@@ -323,6 +336,8 @@
         self._lease_until = -math.inf
         self._share = 0.0
         self._echo = 0.0
+        self._dropped_at = now
+        self._continuity += 1
 
     def _take_hint(self, now, address, answer):
         """Follow a hint to the leader, or note that it resigned."""
@@ -397,7 +412,7 @@
             for sender in (self._me, *candidacy.accepted)
             if sender.name not in history.left
         ]
-        self._drop_rights()
+        self._drop_rights(now)
         self._view = None
         self._leadership = leadership.Leadership(
             self._me,
@@ -495,15 +510,16 @@
         theirs = (len(other.members), _reverse(other.leader))
         if theirs <= ours:
             return False
-        self._resign()
+        self._resign(now)
         self._contact_at = now
         self._leader_address = answer.leader_address
         return True
 
-    def _resign(self):
+    def _resign(self, now):
         self._bases = self._leadership.list_announced()
-        self._seen = max(self._seen, self._leadership.view.number)
-        self._drop_rights()
+        number = self._leadership.view.number
+        self._promised = max(self._promised, number)
+        self._drop_rights(now)
         self._view = None
         self._leader_address = ""
 
--- a/src/geraniumridge/_internal/decisions/leadership.py
+++ b/src/geraniumridge/_internal/decisions/leadership.py
@@ -120,6 +120,11 @@
             self._base_acked[sender.name] = heartbeat.base_number
             if heartbeat.number == self._view.number:
                 self._acked.add(sender.name)
+        elif sender.name in self._evidence:
+            # It followed somebody else, who may count it for a while.
+            del self._evidence[sender.name]
+            start = now + 2 * self._lease_s * DRIFT
+            self._counted_from[sender.name] = start
         return self._grant(now, sender)
 
     def _take_outsider(self, now, heartbeat):
--- a/src/geraniumridge/_internal/network/wire.thrift
+++ b/src/geraniumridge/_internal/network/wire.thrift
@@ -146,19 +146,22 @@
   3: list<CellReport> reports,
 }
 
+// Tokens of a team; closed are batches that will not be spent further.
 struct Draw {
-  1: string vm,
-  2: string team,
-  3: double want,
-  4: double spent,
-  5: i64 config_version,
-  6: bool borrow,
+  1: string team,
+  2: i64 waiting,
+  3: i64 prepaid,
+  4: list<i64> closed,
+  5: string limiter,
 }
 
+// A negative retry_after_s means that no token will come.
 struct Grant {
-  1: double granted,
-  2: double valid_s,
-  3: double retry_after_s,
+  1: i64 granted,
+  2: i64 batch,
+  3: double valid_s,
+  4: double retry_after_s,
+  5: string limiter,
 }
 
 struct Probe {
--- a/src/geraniumridge/_internal/plugins/entry.py
+++ b/src/geraniumridge/_internal/plugins/entry.py
@@ -50,6 +50,7 @@
 
     async def start(self, nursery):
         """Look up the other plug-ins."""
+        self._admission = self._kernel.get("admission")
         self._configuration = self._kernel.get("configuration")
         self._gateway = self._kernel.get("gateway")
         self._membership = self._kernel.get("membership")
@@ -77,6 +78,7 @@
         -------
         Result
         """
+        await self._admission.admit(caller.team)
         mark = session.get_mark(group)
         write = body.mode == "write"
         message = wire.messages.Statement(
@@ -106,6 +108,7 @@
 
     async def begin(self, caller, group, session, options):
         """Open a transaction on the group's primary."""
+        await self._admission.admit(caller.team)
         mark = session.get_mark(group)
         message = wire.messages.Statement(
             group=group,
@@ -122,6 +125,8 @@
 
     async def run_in_transaction(self, caller, name, action, body, options):
         """Run a step, the commit or the rollback of a transaction."""
+        if action == "step":
+            await self._admission.admit(caller.team)
         vm, _, _ = name.partition("~")
         peer = self._membership.find_vm(vm)
         if peer is None:
--- a/src/geraniumridge/_internal/plugins/membership.py
+++ b/src/geraniumridge/_internal/plugins/membership.py
@@ -49,6 +49,7 @@
         self._changed = trio.Event()
         self._last_state = None
         self._riders = []
+        self._listeners = []
         self._domains = {}
 
     @property
@@ -56,6 +57,11 @@
         """The decisions of this VM's cell."""
         return self._cell
 
+    @property
+    def me(self):
+        """This VM as a member."""
+        return self._me
+
     @property
     def is_relay(self):
         """Whether this VM is to ask the platform itself."""
@@ -79,6 +85,10 @@
         """
         self._riders.append(rider)
 
+    def add_listener(self, listener):
+        """Call a function at once after each change of view."""
+        self._listeners.append(listener)
+
     async def start(self, nursery):
         """Start heartbeats."""
         self._nursery = nursery
@@ -93,7 +103,7 @@
     async def drain(self):
         """Leave the cell: hand over before going."""
         was_leader = self._cell.is_leader
-        self._cell.leave()
+        self._cell.leave(trio.current_time())
         heartbeat_s = self._settings.cell.heartbeat_s
         if was_leader:
             await trio.sleep(RESIGN_HEARTBEATS * heartbeat_s)
@@ -229,6 +239,8 @@
         if state == self._last_state:
             return
         self._last_state = state
+        for listener in self._listeners:
+            listener()
         self._changed.set()
         self._changed = trio.Event()
         logger.info(
--- a/tests/unit/decisions/test_cell.py
+++ b/tests/unit/decisions/test_cell.py
@@ -74,7 +74,7 @@
     world = cells.World(3)
     world.run(6.0)
     leader = next(n for n, item in world.cells.items() if item.is_leader)
-    world.cells[leader].leave()
+    world.cells[leader].leave(world.now)
     world.run(1.0)
     world.kill(leader)
     world.run(1.0)
@@ -86,7 +86,7 @@
     world = cells.World(3)
     world.run(6.0)
     name = next(n for n, item in world.cells.items() if not item.is_leader)
-    world.cells[name].leave()
+    world.cells[name].leave(world.now)
     world.run(2.0)
     assert world.cells[name].has_left
     world.kill(name)
@@ -107,6 +107,24 @@
         assert world.is_whole(), name
 
 
+def test_leader_that_wakes_does_not_count_who_followed_another():
+    # Found by a random walk: heartbeats from before the freeze kept a
+    # member that had led a cell of its own meanwhile.
+    world = cells.World(3)
+    world.run(8.3)
+    world.max_delay_s = 1.5
+    world.loss = 0.1
+    world.run(1.5)
+    world.frozen.add("vm-0")
+    world.run(7.7)
+    world.max_delay_s = 0.02
+    world.loss = 0.0
+    world.run(6.5)
+    world.frozen.discard("vm-0")
+    world.run(HEAL_S)
+    assert world.is_whole()
+
+
 pauses = strategies.sampled_from((0.0, 0.2, 0.5, 1.0, 2.5, 4.0))
 
 
@@ -174,7 +192,7 @@
     def leave(self, data):
         name = data.draw(strategies.sampled_from(sorted(self.world.listed)))
         if name in self.world.cells and name not in self.world.frozen:
-            self.world.cells[name].leave()
+            self.world.cells[name].leave(self.world.now)
 
 
 def run_machine(examples, steps):
