Replace primaries: observers, fenced promotion, promises between domains

Cause: nobody promoted, and evidence of a term rested on the platform alone, so its outage stopped every write after 4 s. Change: observers in each domain watch primaries through their gateways; two domains agree, one records the pending term, half of the domains close the group, earlier evidence lapses, the replica with the highest mark is promoted. A confirmed demotion (planned moves) needs no wait. Without the platform, promises of most domains are the evidence.

--- a/src/geraniumridge/_internal/decisions/authority.py
+++ b/src/geraniumridge/_internal/decisions/authority.py
@@ -21,7 +21,9 @@
         self._record = records.TermsRecord()
         self._revision = 0
         self._read_at = float("-inf")
-        self._promises = {}
+        self._promised_at = float("-inf")
+        self._promised_revision = 0
+        self._closed = frozenset()
 
     @property
     def record(self):
@@ -61,9 +63,38 @@
             self._revision = revision
         self._read_at = max(self._read_at, sent_at)
 
-    def note_promise(self, sent_at, group, term):
-        """Take the promise of most domains for a group's term."""
-        self._promises[group] = (term, sent_at)
+    def learn_record(self, revision, record):
+        """Take a record from another VM; it is no evidence."""
+        if revision > self._revision:
+            self._record = record
+            self._revision = revision
+
+    def note_promises(self, sent_at, revision, closed):
+        """Take the promise of most domains.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the questions were sent, in seconds.
+        revision : int
+            Revision of the record that they named.
+        closed : iterable of str
+            Groups that some domain has closed.
+        """
+        if sent_at >= self._promised_at:
+            self._promised_at = sent_at
+            self._promised_revision = revision
+            self._closed = frozenset(closed)
+
+    @property
+    def promised_at(self):
+        """When promises were last asked for with success."""
+        return self._promised_at
+
+    @property
+    def closed(self):
+        """Groups that the last promises did not cover."""
+        return self._closed
 
     def get_evidence_age(self, now):
         """Return the age in seconds of the last platform read."""
@@ -76,5 +107,8 @@
             return False
         if now < self._read_at + self._ttl_s:
             return True
-        promised_term, sent_at = self._promises.get(group, (0, 0.0))
-        return promised_term == term and now < sent_at + self._ttl_s
+        return (
+            now < self._promised_at + self._ttl_s
+            and self._promised_revision == self._revision
+            and group not in self._closed
+        )
--- a/src/geraniumridge/_internal/decisions/chain.py
+++ b/src/geraniumridge/_internal/decisions/chain.py
@@ -73,6 +73,8 @@
 def _find_target_problems(document, name, group):
     if not group.targets:
         yield f"groups.{name}.targets: At least one target is needed"
+    if group.primary and group.primary not in group.targets:
+        yield f"groups.{name}.primary: No target {group.primary!r}"
     for target, entry in group.targets.items():
         if entry.domain not in document.domains:
             yield (
--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/promotion.py
@@ -0,0 +1,172 @@
+"""One change of a group's primary, from its record to its choice."""
+
+import math
+import typing
+
+from geraniumridge._internal.models import records
+
+DRIFT = 1.1
+
+
+class Plan(typing.NamedTuple):
+    """What a promotion knows from the start.
+
+    `replicas` maps each other target to its domain; `required` are
+    those of which one holds every acknowledged write; `domains` is
+    how many domains there are.
+    """
+
+    group: str
+    old_primary: str
+    term: int
+    replicas: dict[str, str]
+    required: frozenset[str]
+    in_service: frozenset[str]
+    preferred: str
+    domains: int
+    ttl_s: float
+
+
+class Promotion:
+    """Decides when a replica may be promoted, and which.
+
+    Earlier evidence must have lapsed: reads of the platform one TTL
+    after the term was recorded as pending, promises once half of the
+    domains have closed the group and what they promised has lapsed.
+    A confirmed demotion of the old primary makes that needless.
+
+    Parameters
+    ----------
+    plan : Plan
+        The change.
+    now : float
+        When the pending term was recorded, in seconds.
+    """
+
+    def __init__(self, plan, now):
+        self._plan = plan
+        self._evidence_until = now + plan.ttl_s * DRIFT
+        self._closed_until = {}
+        self._demoted = None
+        self._marks = {}
+
+    @property
+    def plan(self):
+        """What the promotion knows from the start."""
+        return self._plan
+
+    @property
+    def is_demoted(self):
+        """Whether the old primary has confirmed its demotion."""
+        return self._demoted is not None
+
+    def note_closed(self, domain, now, remaining_s):
+        """Take a domain's closing of the group to promises."""
+        self._closed_until[domain] = now + remaining_s * DRIFT
+
+    def note_demoted(self, mark):
+        """Take the old primary's last mark; it takes no more writes."""
+        self._demoted = mark
+
+    def note_status(self, target, mark):
+        """Take a replica's place in the log."""
+        self._marks[target] = mark
+
+    def is_fenced(self, now):
+        """Tell whether no acknowledgement of an old term can pass."""
+        if self.is_demoted:
+            return True
+        lapsed = [
+            until for until in self._closed_until.values() if until <= now
+        ]
+        enough = len(lapsed) * 2 >= self._plan.domains
+        return enough and now >= self._evidence_until
+
+    def choose(self, now):
+        """Return the target to promote, None while there is none."""
+        if not self.is_fenced(now):
+            return None
+        candidates = self._list_candidates()
+        if not candidates:
+            return None
+        best = max(self._marks[name] for name in candidates)
+        # A lower replica would lose acknowledged writes.
+        holders = [name for name in candidates if self._marks[name] == best]
+        return min(holders, key=self._get_rank)
+
+    def _list_candidates(self):
+        if self._demoted is not None:
+            return [
+                name
+                for name, mark in self._marks.items()
+                if mark.position >= self._demoted.position
+            ]
+        if not self._plan.required <= self._marks.keys():
+            return []
+        return [name for name in self._marks if name in self._plan.replicas]
+
+    def _get_rank(self, name):
+        return (
+            name != self._plan.preferred,
+            name not in self._plan.in_service,
+            name == self._plan.old_primary,
+            name,
+        )
+
+
+class PrimaryWatch:
+    """How long a group's primary has not been usable.
+
+    Parameters
+    ----------
+    gateway_s : float
+        How long its gateway may be out of reach, in seconds.
+    """
+
+    def __init__(self, gateway_s):
+        self._gateway_s = gateway_s
+        self._identity = None
+        self._reached_at = -math.inf
+        self._is_down = False
+
+    def note(self, now, identity, reached, down):
+        """Take one observation.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        identity : object
+            Term and primary that were observed.
+        reached : bool
+            Whether the primary's gateway answered.
+        down : bool
+            Whether it said that the target is down.
+        """
+        if identity != self._identity:
+            self._identity = identity
+            self._reached_at = now
+            self._is_down = False
+        if reached:
+            self._reached_at = now
+            self._is_down = down
+
+    def is_gone(self, now, term):
+        """Tell whether the primary of a term is to be replaced."""
+        if self._identity is None or self._identity[0] != term:
+            return False
+        silent_s = now - self._reached_at
+        return self._is_down or silent_s > self._gateway_s
+
+
+def needs_agreement(domains):
+    """Return how many domains must see a primary gone."""
+    return 2 if domains > 2 else 1
+
+
+def make_in_force(known, pending, target, position):
+    """Return the group's term once its new primary is in place."""
+    start = records.Mark(pending.term, position)
+    return records.GroupTerm(
+        pending.term, target, (*known.starts, start), None
+    )
--- a/src/geraniumridge/_internal/models/config.py
+++ b/src/geraniumridge/_internal/models/config.py
@@ -54,12 +54,14 @@
     """One database group.
 
     `acknowledge` tells whether a write is acknowledged once the
-    primary has it, or once a replica has it too.
+    primary has it, or once a replica has it too. `primary` names the
+    target that operators want as primary, if any.
     """
 
     targets: dict[str, TargetEntry]
     open_reads: bool = False
     acknowledge: typing.Literal["primary", "replica"] = "replica"
+    primary: str = ""
 
 
 class Document(typing.NamedTuple):
--- a/src/geraniumridge/_internal/network/wire.thrift
+++ b/src/geraniumridge/_internal/network/wire.thrift
@@ -106,7 +106,7 @@
   24: double evidence_age_s,
   25: string terms,
   26: double promise_age_s,
-  27: map<string, i64> promised,
+  27: list<string> closed,
 }
 
 struct Claim {
@@ -175,12 +175,14 @@
 // Ask a domain for its promise that it takes part in no promotion.
 struct Promise {
   1: string domain,
-  2: map<string, i64> terms,
+  2: i64 revision,
 }
 
 struct PromiseAnswer {
   1: bool promised,
   2: list<string> closed,
+  3: i64 revision,
+  4: string terms,
 }
 
 struct Close {
--- a/src/geraniumridge/_internal/plugins/__init__.py
+++ b/src/geraniumridge/_internal/plugins/__init__.py
@@ -13,6 +13,7 @@
 from geraniumridge._internal.plugins import terms  # noqa: F401
 from geraniumridge._internal.plugins import durability  # noqa: F401,H306
 from geraniumridge._internal.plugins import gateway  # noqa: F401,H306
+from geraniumridge._internal.plugins import promises  # noqa: F401
 from geraniumridge._internal.plugins import failover  # noqa: F401,H306
 from geraniumridge._internal.plugins import limiter  # noqa: F401
 from geraniumridge._internal.plugins import admission  # noqa: F401,H306
--- a/src/geraniumridge/_internal/plugins/terms.py
+++ b/src/geraniumridge/_internal/plugins/terms.py
@@ -16,6 +16,8 @@
 logger = logging.getLogger(__name__)
 
 TERMS_KEY = "terms"
+SETTLE_TRIES = 20
+SETTLE_PAUSE_S = 0.2
 
 
 def decode_record(data):
@@ -51,6 +53,7 @@
         self._membership = self._kernel.get("membership")
         self._membership.add_rider(self)
         nursery.start_soon(self._follow)
+        nursery.start_soon(self._watch)
 
     def load_heartbeat(self, message):
         """Put the revision that this VM holds on a heartbeat."""
@@ -64,6 +67,8 @@
         now = trio.current_time()
         message.evidence_age_s = self._authority.get_evidence_age(now)
         message.terms_revision = self._authority.revision
+        message.promise_age_s = now - self._authority.promised_at
+        message.closed = sorted(self._authority.closed)
         if heartbeat.terms_revision != self._authority.revision:
             groups = decode.encode(self._authority.record.groups)
             message.terms = msgspec.json.encode(groups).decode()
@@ -77,6 +82,9 @@
             return
         read_at = sent_at - message.evidence_age_s
         self.note(read_at, message.terms_revision, record)
+        promised_at = sent_at - message.promise_age_s
+        revision = message.terms_revision
+        self.note_promises(promised_at, revision, message.closed or [])
 
     async def wait_changed(self, timeout_s):
         """Wait for a newer record, or for a while."""
@@ -120,17 +128,56 @@
         revision = await self._platform.put(TERMS_KEY, value, entry.revision)
         self.note(sent_at, revision, records.TermsRecord(groups))
 
+    async def settle(self, group, expected, term):
+        """Update an entry; a lost answer is settled by reading back.
+
+        Raises
+        ------
+        exceptions.ConflictError
+            If another writer came first.
+        exceptions.PlatformUnavailableError
+            If the outcome could not be settled.
+        """
+        for _ in range(SETTLE_TRIES):
+            try:
+                await self.update(group, expected, term)
+                return
+            except exceptions.PlatformUnavailableError:
+                await trio.sleep(SETTLE_PAUSE_S)
+            except exceptions.ConflictError:
+                await self.read()
+                if self._authority.get_group(group) == term:
+                    return
+                if self._authority.get_group(group) != expected:
+                    raise
+        raise exceptions.PlatformUnavailableError(
+            f"{group}: the change of term could not be recorded"
+        )
+
+    def learn(self, revision, record):
+        """Take a record from another domain; it is no evidence."""
+        if revision > self._authority.revision:
+            self._authority.learn_record(revision, record)
+            self._note_changed(revision)
+
+    def note_promises(self, sent_at, revision, closed):
+        """Take promises of most domains as evidence."""
+        self._authority.note_promises(sent_at, revision, closed)
+
     def note(self, sent_at, revision, record):
         """Take a record that was read at a time."""
         newer = revision > self._authority.revision
         self._authority.note_record(sent_at, revision, record)
         if newer:
-            logger.info(
-                "terms changed",
-                extra={"event": "terms_changed", "revision": revision},
-            )
-            self._changed.set()
-            self._changed = trio.Event()
+            self._note_changed(revision)
+
+    def _note_changed(self, revision):
+        logger.info(
+            "terms changed",
+            extra={"event": "terms_changed", "revision": revision},
+        )
+        self._changed.set()
+        self._changed = trio.Event()
 
     async def _follow(self):
         while True:
@@ -141,3 +188,17 @@
             except exceptions.PlatformError as error:
                 logger.debug("no terms", extra={"reason": str(error)})
             await trio.sleep(self._settings.authority.read_every_s)
+
+    async def _watch(self):
+        """Learn of changes at once, beside the reads at intervals."""
+        wait_s = self._settings.platform.watch_s
+        while True:
+            try:
+                if self._membership.is_relay:
+                    revision = self._authority.revision
+                    await self._platform.watch(TERMS_KEY, revision, wait_s)
+                    await self.read()
+                    continue
+            except exceptions.PlatformError as error:
+                logger.debug("no watch", extra={"reason": str(error)})
+            await trio.sleep(self._settings.authority.read_every_s)
