Refuse at a silent target as not run; end requests of a lapsed term

Cause: writes went to a target that had missed its probes and ended as outcome unknown; a write on a frozen former primary hung until its 10 s timeout although no acknowledgement of its term could pass any more. Ruled out: the promotion itself (in force after 6.5 s in both runs). Change: a target that missed two probes is refused before sending; a request on the primary is given up once a later term is known.

--- a/src/geraniumridge/_internal/plugins/gateway.py
+++ b/src/geraniumridge/_internal/plugins/gateway.py
@@ -1,5 +1,6 @@
 """Gateway: owns the connections and slots of its targets."""
 
+import contextlib
 import logging
 import secrets
 
@@ -46,6 +47,7 @@
         super().__init__(owner)
         self._gates = {}
         self._transactions = {}
+        self._scopes = {}
         self._running = 0
 
     async def start(self, nursery):
@@ -60,6 +62,7 @@
         peers.handle(wire.messages.Promote, self._answer_promote)
         peers.handle(wire.messages.Await, self._answer_await)
         nursery.start_soon(self._sweep_transactions)
+        nursery.start_soon(self._watch_terms)
         nursery.start_soon(self._run_gates, nursery)
 
     async def drain(self):
@@ -97,12 +100,15 @@
     @ACTIONS.register("statement")
     async def _run_single(self, statement):
         gate = self._find_gate(statement.group, statement.target)
+        gate.check_answering()
         deadline = trio.current_time() + statement.deadline_ms / 1000
         async with gate.slot(
             statement.team, statement.weight, deadline
         ) as wait:
             term = self._check_authority(statement)
-            answer = await gate.run("/statement", _make_body(statement, term))
+            body = _make_body(statement, term)
+            with self._until_term_ends(statement.group, term):
+                answer = await gate.run("/statement", body)
         if statement.is_write or statement.is_primary:
             await self._confirm(statement, gate, answer, deadline)
         return _make_answer(answer, wait)
@@ -110,6 +116,7 @@
     @ACTIONS.register("begin")
     async def _begin(self, statement):
         gate = self._find_gate(statement.group, statement.target)
+        gate.check_answering()
         now = trio.current_time()
         deadline = now + statement.deadline_ms / 1000
         wait = await gate.enter(statement.team, statement.weight, deadline)
@@ -222,6 +229,37 @@
             )
         return gate
 
+    @contextlib.contextmanager
+    def _until_term_ends(self, group, term):
+        """Give up once a later term is known: no answer can pass then.
+
+        Raises
+        ------
+        exceptions.OutcomeUnknownError
+            If the term ended while the block ran.
+        """
+        if not term:
+            yield
+            return
+        with trio.CancelScope() as scope:
+            self._scopes[scope] = (group, term)
+            try:
+                yield
+            finally:
+                del self._scopes[scope]
+        if scope.cancelled_caught:
+            raise exceptions.OutcomeUnknownError(
+                f"{group}: term {term} ended while the request ran"
+            )
+
+    async def _watch_terms(self):
+        while True:
+            await self._terms.wait_changed(TRANSACTION_SWEEP_S)
+            for scope, (group, term) in list(self._scopes.items()):
+                known = self._terms.authority.get_group(group)
+                if known is not None and known.term != term:
+                    scope.cancel()
+
     def _check_authority(self, statement):
         """Return the term that may be acknowledged, 0 for a replica."""
         if not statement.is_write and not statement.is_primary:
--- a/src/geraniumridge/_internal/plugins/target_gate.py
+++ b/src/geraniumridge/_internal/plugins/target_gate.py
@@ -10,6 +10,7 @@
 from geraniumridge._internal.network import targets
 
 CONTROL_CONNECTIONS = 2
+MISSED_PROBES = 2
 
 REASONS = {
     "behind": exceptions.BehindError,
@@ -67,6 +68,20 @@
         limit = self._settings.authority.suspect_target_s
         return now - self._answered_at > limit
 
+    def check_answering(self):
+        """Refuse, as not run, what a silent target would not answer.
+
+        Raises
+        ------
+        exceptions.UnavailableError
+            If the target has missed its probes.
+        """
+        silent_s = trio.current_time() - self._answered_at
+        if silent_s > MISSED_PROBES * self._settings.authority.probe_every_s:
+            raise exceptions.UnavailableError(
+                f"{self._name}: no answer for {silent_s:.1f} s"
+            )
+
     def get_state(self):
         """Return queue and pool sizes for the status page."""
         return {
