Notice silent peers and domains; give up on silent targets

Cause: with the primary's domain cut off, entry VMs waited out their 10 s deadline on links that carried nothing, and observers waited 6 s before they suspected it, as for a VM that died alone. Ruled out: promotion (in force 5 s after it began) and replication. Change: links that owe answers are pinged and closed after 2 s of silence; failed addresses are avoided for 0.5 s; observers ask another VM of the domain and suspect a wholly silent domain after 2.5 s; a target that missed its probes gives up its requests. The fault proxy cuts links by address.

--- a/src/geraniumridge/_internal/decisions/promotion.py
+++ b/src/geraniumridge/_internal/decisions/promotion.py
@@ -114,49 +114,70 @@
         )
 
 
+class Sight(typing.NamedTuple):
+    """One observation of a primary.
+
+    `gateway` and `domain` tell whether the primary's gateway, or any
+    VM of its domain, answered; `down` whether the gateway said that
+    the target is silent.
+    """
+
+    gateway: bool
+    domain: bool
+    down: bool = False
+
+
 class PrimaryWatch:
     """How long a group's primary has not been usable.
 
     Parameters
     ----------
     gateway_s : float
-        How long its gateway may be out of reach, in seconds.
+        How long its gateway may be silent while its domain answers,
+        in seconds; placement moves within that time.
+    domain_s : float
+        How long its whole domain may be silent, in seconds.
     """
 
-    def __init__(self, gateway_s):
+    def __init__(self, gateway_s, domain_s):
         self._gateway_s = gateway_s
+        self._domain_s = domain_s
         self._identity = None
-        self._reached_at = -math.inf
+        self._gateway_at = -math.inf
+        self._domain_at = -math.inf
         self._is_down = False
 
-    def note(self, now, identity, reached, down):
+    def note(self, now, identity, sight):
         """Take one observation.
 
         Parameters
         ----------
         now : float
             Current time, in seconds.
-        identity : object
+        identity : tuple of int and str
             Term and primary that were observed.
-        reached : bool
-            Whether the primary's gateway answered.
-        down : bool
-            Whether it said that the target is down.
+        sight : Sight
+            What was seen.
         """
         if identity != self._identity:
             self._identity = identity
-            self._reached_at = now
+            self._gateway_at = self._domain_at = now
             self._is_down = False
-        if reached:
-            self._reached_at = now
-            self._is_down = down
+        if sight.gateway:
+            self._gateway_at = now
+            self._is_down = sight.down
+        if sight.gateway or sight.domain:
+            self._domain_at = now
 
     def is_gone(self, now, term):
         """Tell whether the primary of a term is to be replaced."""
         if self._identity is None or self._identity[0] != term:
             return False
-        silent_s = now - self._reached_at
-        return self._is_down or silent_s > self._gateway_s
+        return (
+            self._is_down
+            or now - self._gateway_at > self._gateway_s
+            or now - self._domain_at > self._domain_s
+        )
 
 
 def needs_agreement(domains):
--- a/src/geraniumridge/_internal/kernel/kernel.py
+++ b/src/geraniumridge/_internal/kernel/kernel.py
@@ -6,6 +6,7 @@
 import trio
 
 from geraniumridge._internal.kernel import registry
+from geraniumridge._internal.network import streams
 
 logger = logging.getLogger(__name__)
 
@@ -79,6 +80,7 @@
 
     async def run(self):
         """Run the plug-ins until a graceful stop has ended."""
+        streams.set_source_host(self._settings.listen.source)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_signals)
             for plugin in self._plugins.values():
--- a/src/geraniumridge/_internal/models/settings.py
+++ b/src/geraniumridge/_internal/models/settings.py
@@ -25,11 +25,18 @@
 
 
 class ListenSettings(typing.NamedTuple):
-    """Addresses ``IP:port`` that the daemon listens on."""
+    """Addresses ``IP:port`` that the daemon listens on.
+
+    `advertise` is the address for peers that the others are told, if
+    it differs from `peers`; `source` is the IP that outgoing
+    connections come from.
+    """
 
     callers: Address
     peers: Address
     operators: Address
+    advertise: Address | None = None
+    source: Address | None = None
 
 
 class PlatformSettings(typing.NamedTuple):
@@ -77,6 +84,7 @@
     read_every_s: Seconds = 1.0
     suspect_target_s: Seconds = 2.0
     suspect_gateway_s: Seconds = 6.0
+    suspect_domain_s: Seconds = 2.5
     probe_every_s: Seconds = 0.5
 
 
@@ -157,7 +165,8 @@
             " 2 x authority.read_every_s"
         )
     for key, value in settings.listen._asdict().items():
-        yield from _check_address(f"listen.{key}", value)
+        if value is not None and key != "source":
+            yield from _check_address(f"listen.{key}", value)
     yield from _check_address("platform.address", settings.platform.address)
 
 
--- a/src/geraniumridge/_internal/network/peers.py
+++ b/src/geraniumridge/_internal/network/peers.py
@@ -23,6 +23,11 @@
 RECEIVE_BYTES = 65_536
 SEND_TIMEOUT_S = 5.0
 MAX_CALLS_PER_LINK = 4_096
+HELLO_TIMEOUT_S = 1.0
+PING_AFTER_S = 0.5
+SILENT_AFTER_S = 2.0
+AVOID_S = 0.5
+PING_NUMBER = 0
 
 _STREAM_ERRORS = (
     OSError,
@@ -129,6 +134,7 @@
         self._calls = {}
         self._next_number = 1
         self._is_open = True
+        self._received_at = trio.current_time()
 
     @property
     def is_open(self):
@@ -140,6 +146,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._frames.run_writer)
+                nursery.start_soon(self._watch_silence, nursery)
                 try:
                     await self._receive_answers()
                 finally:
@@ -154,9 +161,27 @@
             with trio.CancelScope(shield=True):
                 await self._frames.close()
 
+    async def close(self):
+        """Close the connection; waiting calls end as lost."""
+        await self._frames.close()
+
+    async def _watch_silence(self, nursery):
+        """Ping a peer that owes answers; give up on a silent one."""
+        while True:
+            await trio.sleep(PING_AFTER_S)
+            silent_s = trio.current_time() - self._received_at
+            if not self._calls:
+                self._received_at = trio.current_time()
+            elif silent_s > SILENT_AFTER_S:
+                logger.info("peer is silent", extra={"event": "peer_silent"})
+                nursery.cancel_scope.cancel()
+            elif silent_s > PING_AFTER_S:
+                self._frames.post(PING_NUMBER, wire.messages.Empty())
+
     async def _receive_answers(self):
         while True:
             number, message = await self._frames.receive()
+            self._received_at = trio.current_time()
             call = self._calls.pop(number, None)
             # A late answer belongs to a call that was given up.
             if call is not None:
@@ -179,6 +204,8 @@
         self._next_number += 1
         self._frames.post(number, message)
         call = _Call()
+        if not self._calls:
+            self._received_at = trio.current_time()
         self._calls[number] = call
         try:
             await call.done.wait()
@@ -208,6 +235,7 @@
         self._tls = tls
         self._links = {}
         self._locks = {}
+        self._avoid_until = {}
 
     async def call(self, address, message, timeout_s):
         """Call a peer.
@@ -253,17 +281,26 @@
         async with lock:
             link = self._links.get(address)
             if link is None or not link.is_open:
+                now = trio.current_time()
+                if now < self._avoid_until.get(address, now):
+                    raise exceptions.NotSentError(f"{address}: silent")
                 link = await self._open_link(address)
             return link
 
     async def _open_link(self, address):
+        """Open a link; after a failure others need not try for a while."""
+        self._avoid_until[address] = trio.current_time() + AVOID_S
         stream = await streams.connect(address, self._tls)
         link = PeerLink(stream)
         self._nursery.start_soon(link.run)
         try:
-            await link.call(self._hello)
-        except exceptions.NetworkError as error:
-            raise exceptions.NotSentError(f"{address}: hello: {error}")
+            with trio.fail_after(HELLO_TIMEOUT_S):
+                await link.call(self._hello)
+        except (exceptions.NetworkError, trio.TooSlowError) as error:
+            self._avoid_until[address] = trio.current_time() + AVOID_S
+            await link.close()
+            raise exceptions.NotSentError(f"{address}: hello: {error!r}")
+        del self._avoid_until[address]
         self._links[address] = link
         return link
 
@@ -320,6 +357,9 @@
         limit = trio.Semaphore(MAX_CALLS_PER_LINK)
         while True:
             number, message = await frames.receive()
+            if number == PING_NUMBER:
+                frames.post(PING_NUMBER, wire.messages.Empty())
+                continue
             await limit.acquire()
             nursery.start_soon(self._answer, frames, number, message, limit)
 
--- a/src/geraniumridge/_internal/network/streams.py
+++ b/src/geraniumridge/_internal/network/streams.py
@@ -8,6 +8,13 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+_source_host = trio.lowlevel.RunVar("source_host", default=None)
+
+
+def set_source_host(host):
+    """Let outgoing connections of this run come from an address."""
+    _source_host.set(host)
+
 
 def split_address(address):
     """Split ``IP:port`` into the pair that sockets take."""
@@ -64,7 +71,9 @@
     host, port = split_address(address)
     try:
         with trio.fail_after(timeout_s):
-            stream = await trio.open_tcp_stream(host, port)
+            stream = await trio.open_tcp_stream(
+                host, port, local_address=_source_host.get()
+            )
             if tls is None:
                 return stream
             secured = trio.SSLStream(stream, tls, server_hostname=host)
--- a/src/geraniumridge/_internal/plugins/failover.py
+++ b/src/geraniumridge/_internal/plugins/failover.py
@@ -118,30 +118,45 @@
 
     async def _observe(self, group, known):
         """Ask the primary's gateway how its target is."""
-        limit_s = self._settings.authority.suspect_gateway_s
+        settings = self._settings.authority
         watch = self._watches.get(group)
         if watch is None:
-            watch = promotion.PrimaryWatch(limit_s)
+            watch = promotion.PrimaryWatch(
+                settings.suspect_gateway_s, settings.suspect_domain_s
+            )
             self._watches[group] = watch
         entry = self._get_group(group).targets[known.primary]
         name = f"{group}/{known.primary}"
         owner = self._membership.find_owner(entry.domain, name)
-        down = []
-        reached = False
-        if owner is not None:
-            message = wire.messages.Probe(targets=[name])
-            with contextlib.suppress(
-                exceptions.NetworkError, exceptions.RequestError
-            ):
-                answer = await self._peers.call(
-                    owner.address, message, CALL_TIMEOUT_S
-                )
-                down = answer.down or []
-                reached = True
+        answer = owner and await self._probe(owner, [name])
+        if answer:
+            sight = promotion.Sight(True, True, bool(answer.down))
+        else:
+            reached = await self._reach_domain(entry.domain, owner)
+            sight = promotion.Sight(False, reached)
         identity = (known.term, known.primary)
-        watch.note(trio.current_time(), identity, reached, bool(down))
+        watch.note(trio.current_time(), identity, sight)
         return watch
 
+    async def _probe(self, member, names):
+        """Return a VM's answer about some targets, None without."""
+        message = wire.messages.Probe(targets=names)
+        with contextlib.suppress(
+            exceptions.NetworkError, exceptions.RequestError
+        ):
+            return await self._peers.call(
+                member.address, message, CALL_TIMEOUT_S
+            )
+        return None
+
+    async def _reach_domain(self, domain, owner):
+        """Tell whether any other VM of a domain answers."""
+        view = self._membership.find_view(domain)
+        for member in view.members if view else ():
+            if member != owner and await self._probe(member, []):
+                return True
+        return False
+
     async def _answer_suspicion(self, message):
         watch = self._watches.get(message.group)
         agreed = watch is not None and watch.is_gone(
@@ -152,22 +167,28 @@
     async def _is_agreed(self, group, known):
         """Ask the observers of other domains whether they agree."""
         domains = list(self._configuration.document.domains)
-        agreed = 1
-        for domain in domains:
-            if domain == self._settings.vm.domain:
-                continue
-            owner = self._membership.find_owner(domain, f"observer/{group}")
-            if owner is None:
-                continue
-            message = wire.messages.Suspicion(group=group, term=known.term)
-            with contextlib.suppress(
-                exceptions.NetworkError, exceptions.RequestError
-            ):
-                answer = await self._peers.call(
-                    owner.address, message, CALL_TIMEOUT_S
-                )
-                agreed += bool(answer.agreed)
-        return agreed >= promotion.needs_agreement(len(domains))
+        agreed = []
+        async with trio.open_nursery() as nursery:
+            for domain in domains:
+                if domain != self._settings.vm.domain:
+                    nursery.start_soon(
+                        self._ask_agreement, domain, group, known, agreed
+                    )
+        return 1 + len(agreed) >= promotion.needs_agreement(len(domains))
+
+    async def _ask_agreement(self, domain, group, known, agreed):
+        owner = self._membership.find_owner(domain, f"observer/{group}")
+        if owner is None:
+            return
+        message = wire.messages.Suspicion(group=group, term=known.term)
+        with contextlib.suppress(
+            exceptions.NetworkError, exceptions.RequestError
+        ):
+            answer = await self._peers.call(
+                owner.address, message, CALL_TIMEOUT_S
+            )
+            if answer.agreed:
+                agreed.append(domain)
 
     def _list_in_service(self, group):
         document = self._configuration.document
--- a/src/geraniumridge/_internal/plugins/membership.py
+++ b/src/geraniumridge/_internal/plugins/membership.py
@@ -34,7 +34,9 @@
         super().__init__(owner)
         settings = self._settings
         self._me = membership.Member(
-            settings.vm.name, secrets.token_hex(4), settings.listen.peers
+            settings.vm.name,
+            secrets.token_hex(4),
+            settings.listen.advertise or settings.listen.peers,
         )
         self._cell = cell.Cell(
             self._me,
--- a/src/geraniumridge/_internal/plugins/target_gate.py
+++ b/src/geraniumridge/_internal/plugins/target_gate.py
@@ -57,6 +57,7 @@
         self._pool = targets.TargetPool(entry.address, limit)
         self._answered_at = trio.current_time()
         self._closed = trio.Event()
+        self._scopes = set()
 
     @property
     def entry(self):
@@ -158,8 +159,12 @@
         """
         timeout_s = self._settings.limits.request_timeout_s
         try:
-            with trio.fail_after(timeout_s):
-                answer = await targets.run_request(client, path, body)
+            with trio.fail_after(timeout_s) as scope:
+                self._scopes.add(scope)
+                try:
+                    answer = await targets.run_request(client, path, body)
+                finally:
+                    self._scopes.discard(scope)
         except (exceptions.ConnectionLostError, trio.TooSlowError) as error:
             with trio.CancelScope(shield=True):
                 await client.close()
@@ -187,12 +192,23 @@
 
     async def run_probe(self):
         """Ask the target for its state at intervals, until closed."""
-        while not self._closed.is_set():
-            with contextlib.suppress(
-                exceptions.NetworkError, exceptions.RequestError
-            ):
-                await self._probe_on_connection()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_silence)
+            while not self._closed.is_set():
+                with contextlib.suppress(
+                    exceptions.NetworkError, exceptions.RequestError
+                ):
+                    await self._probe_on_connection()
+                await trio.sleep(self._settings.authority.probe_every_s)
+            nursery.cancel_scope.cancel()
+
+    async def _watch_silence(self):
+        """Give up the requests that a silent target holds."""
+        while True:
             await trio.sleep(self._settings.authority.probe_every_s)
+            if self.is_down(trio.current_time()):
+                for scope in list(self._scopes):
+                    scope.cancel()
 
     async def close(self):
         """Close the idle connections and stop the probe."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,8 @@
 POLL_S = 0.05
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
+PLATFORM_HOST = "127.0.9.1"
+FIRST_DOMAIN = 10
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -105,6 +107,10 @@
         Plan of each team: rate, burst.
     settings : str, optional
         Further TOML for each daemon.
+    service_ms : float, optional
+        Time that each statement takes at its target.
+    proxied : bool, optional
+        Put the fault proxy between the domains, so that `cut` works.
     """
 
     def __init__(
@@ -116,6 +122,7 @@
         teams=None,
         settings="",
         service_ms=1,
+        proxied=False,
     ):
         self.domains = domains
         self.groups = groups
@@ -125,7 +132,10 @@
         self.extra_settings = settings
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
         self.processes = {}
-        self.platform = reserve_address()
+        self.proxied = proxied
+        self.links = {}
+        self.proxy_admin = reserve_address()
+        self.platform = reserve_address(PLATFORM_HOST)
         self.targets = {}
         self.vms = {}
         self.keys = {team: f"key-of-{team}" for team in self.teams}
@@ -146,15 +156,46 @@
 
     def add_vm(self, name, domain):
         """Reserve the addresses of a further VM."""
-        addresses = [reserve_address() for _ in range(3)]
+        host = self.get_host(domain)
+        addresses = [reserve_address(host) for _ in range(3)]
         self.vms[name] = Vm(name, domain, *addresses)
+        self.link(addresses[1])
         return self.vms[name]
 
+    def get_host(self, domain):
+        """Return the loopback address of a domain."""
+        return f"127.0.{FIRST_DOMAIN + self.domains.index(domain)}.1"
+
+    def link(self, address):
+        """Put the fault proxy before an address, if there is one."""
+        if self.proxied:
+            self.links[address] = reserve_address()
+
+    def get_front(self, address):
+        """Return the address that others are to use."""
+        return self.links.get(address, address)
+
+    def cut(self, *pairs):
+        """Cut links between pairs of domains; without pairs, heal.
+
+        One side of a pair may be ``"platform"``.
+        """
+        prefixes = [
+            [
+                PLATFORM_HOST if side == "platform" else self.get_host(side)
+                for side in pair
+            ]
+            for pair in pairs
+        ]
+        request(self.proxy_admin, "PUT", "/admin", {"cuts": prefixes})
+
     def start(self):
         """Start everything and wait until every VM is ready."""
         self.start_platform()
         for group in self.groups:
             self.start_group(group)
+        if self.proxied:
+            self.start_proxy()
         wait_for(self.list_vms, "platform")
         self.write_config()
         for name in self.vms:
@@ -186,13 +227,23 @@
         """Start the platform stand-in."""
         arguments = ["--address", self.platform]
         self.spawn("platform", "-m", "standins.platform", *arguments)
+        self.link(self.platform)
+
+    def start_proxy(self):
+        """Start the fault proxy for every link."""
+        arguments = ["--admin", self.proxy_admin]
+        for back, front in self.links.items():
+            arguments += ["--link", f"{front}={back}"]
+        self.spawn("proxy", "-m", "standins.faultproxy", *arguments)
+        wait_for(lambda: request(self.proxy_admin, "PUT", "/admin"), "proxy")
 
     def start_group(self, group):
         """Start a database group with one instance per domain."""
         arguments = ["-m", "standins.group", "--lag-ms", str(self.lag_ms)]
         arguments += ["--service-ms", str(self.service_ms)]
         for domain in self.domains:
-            address = reserve_address()
+            address = reserve_address(self.get_host(domain))
+            self.link(address)
             self.targets[group, f"{group}-{domain}"] = address
             arguments += ["--instance", f"{group}-{domain}={address}"]
         self.spawn(f"group-{group}", *arguments)
@@ -203,7 +254,7 @@
             {
                 "name": vm.name,
                 "domain": vm.domain,
-                "address": vm.peers,
+                "address": self.get_front(vm.peers),
                 "operators": vm.operators,
                 "state": "live",
             }
@@ -230,7 +281,8 @@
             for domain in self.domains:
                 name = f"{group}-{domain}"
                 address = self.targets[group, name]
-                entry = {"address": address, "domain": domain}
+                front = self.get_front(address)
+                entry = {"address": front, "domain": domain}
                 groups[group]["targets"][name] = entry
         use = {
             f"plan-{team}": {
@@ -279,8 +331,10 @@
 callers = "{vm.callers}"
 peers = "{vm.peers}"
 operators = "{vm.operators}"
+advertise = "{self.get_front(vm.peers)}"
+source = "{self.get_host(vm.domain)}"
 [platform]
-address = "{self.platform}"
+address = "{self.get_front(self.platform)}"
 {self.extra_settings}
 """)
         return path
