Never claim 'not run' after an attempt whose outcome is unknown

Cause: after a repeatable write's first attempt was lost, the refusal of its second was passed on as 'not run'; a read on the primary whose term lapsed said 'not run' too. Ruled out: the gateway's own refusals. Change: the entry combines the attempts' errors.

--- a/src/geraniumridge/_internal/plugins/entry.py
+++ b/src/geraniumridge/_internal/plugins/entry.py
@@ -156,15 +156,18 @@
         deadline = self._get_deadline()
         self._budget.note_attempt()
         last = exceptions.UnavailableError("no target can serve the request")
+        unknown = None
         pause_s = FIRST_PAUSE_S
         while True:
             for route in await self._list_routes(message, only_primary):
                 try:
                     return await self._try(message, route, session, deadline)
                 except exceptions.RequestError as error:
+                    if isinstance(error, exceptions.OutcomeUnknownError):
+                        unknown = error
+                    last = _combine(unknown, error)
                     if not _may_retry(error, repeatable):
-                        raise
-                    last = error
+                        raise last
                 self._metrics.count("retries")
                 if not self._budget.take():
                     break
@@ -275,6 +278,15 @@
     return unknown and repeatable
 
 
+def _combine(unknown, error):
+    """Return the error that is true of every attempt together."""
+    if unknown is None or error.executed == "unknown":
+        return error
+    return exceptions.OutcomeUnknownError(
+        f"{unknown.detail}; then: {error.detail}"
+    )
+
+
 @contextlib.contextmanager
 def measure(metrics, team, kind):
     """Record the latency of a block, and its refusal if it fails."""
--- a/src/geraniumridge/_internal/plugins/gateway.py
+++ b/src/geraniumridge/_internal/plugins/gateway.py
@@ -163,9 +163,11 @@
             now = trio.current_time()
             if not self._terms.authority.holds(statement.group, term, now):
                 await self._end(statement.transaction)
-                raise exceptions.UnavailableError(
+                error = exceptions.UnavailableError(
                     "the primary's term cannot be confirmed; rolled back"
                 )
+                error.executed = "rolled back"
+                raise error
             body = _make_body(statement, term)
             try:
                 answer = await self._run_in(transaction, "/commit", body)
@@ -283,12 +285,8 @@
         holds = self._terms.authority.holds(statement.group, mark.term, now)
         if not holds:
             self._metrics.count("answers_withheld")
-            if statement.is_write:
-                raise exceptions.OutcomeUnknownError(
-                    "the primary's term lapsed while the write ran"
-                )
-            raise exceptions.UnavailableError(
-                "the primary's term lapsed while the read ran"
+            raise exceptions.OutcomeUnknownError(
+                "the primary's term lapsed while the request ran"
             )
 
     async def _wait_replica(self, statement, gate, mark, deadline):
--- a/standins/group.py
+++ b/standins/group.py
@@ -276,8 +276,7 @@
         """Commit one write, or return its first result again."""
         instance = self.instance
         key = data.get("idempotency_key")
-        with trio.fail_after(WRITE_LOCK_TIMEOUT_S):
-            await instance.write_lock.acquire()
+        await self.lock_writes()
         try:
             self.check(data, write=True)
             if key and key in instance.applied:
@@ -292,6 +291,14 @@
         finally:
             instance.write_lock.release()
 
+    async def lock_writes(self):
+        """Wait for the writers before, for a bounded time."""
+        try:
+            with trio.fail_after(WRITE_LOCK_TIMEOUT_S):
+                await self.instance.write_lock.acquire()
+        except trio.TooSlowError:
+            raise Refused("busy")
+
     def commit_entry(self, statements, request, result):
         """Append to the log of this primary."""
         instance = self.instance
@@ -309,8 +316,7 @@
     async def begin(self, data):
         """Open a transaction on a private copy of the data."""
         self.check(data, write=True)
-        with trio.fail_after(WRITE_LOCK_TIMEOUT_S):
-            await self.instance.write_lock.acquire()
+        await self.lock_writes()
         try:
             self.check(data, write=True)
         except Refused:
--- /dev/null
+++ b/tests/unit/plugins/test_entry.py
@@ -0,0 +1,129 @@
+"""Retries of the entry, against a gateway with a script."""
+
+import types
+
+import pytest
+import trio
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import config
+from geraniumridge._internal.models import membership
+from geraniumridge._internal.models import records
+from geraniumridge._internal.models import requests
+from geraniumridge._internal.models import session
+from geraniumridge._internal.models import settings
+from geraniumridge._internal.network import wire
+from geraniumridge._internal.plugins import entry
+from lib import kernels
+
+SETTINGS = settings.Settings(
+    settings.VmSettings("vm", "north"),
+    settings.ListenSettings("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"),
+    settings.PlatformSettings("127.0.0.1:4"),
+    limits=settings.LimitSettings(request_timeout_s=0.5),
+)
+ME = membership.Member("vm", "1", "127.0.0.1:2")
+
+
+class Gateway:
+    """Runs a script of errors and answers."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.calls = 0
+
+    async def run_statement(self, message):
+        self.calls += 1
+        step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        if isinstance(step, Exception):
+            raise step
+        return wire.messages.StatementAnswer(body=b"{}", term=1, position=1)
+
+
+class Terms:
+    """One group with one term."""
+
+    def __init__(self):
+        term = records.GroupTerm(1, "p")
+        self.authority = types.SimpleNamespace(get_group=lambda name: term)
+
+    async def wait_changed(self, timeout_s):
+        await trio.sleep(timeout_s)
+
+
+class Admission:
+    """Admits everybody."""
+
+    async def admit(self, team):
+        return None
+
+
+def run(script, **options):
+    """Run one write through an entry with a scripted gateway."""
+    target = config.TargetEntry("127.0.0.1:9", "north")
+    document = config.Document(
+        domains={"north": config.DomainEntry()},
+        groups={"g": config.GroupEntry({"p": target})},
+    )
+    gateway = Gateway(script)
+    kernel = kernels.ScriptedKernel(
+        SETTINGS,
+        admission=Admission(),
+        configuration=types.SimpleNamespace(document=document),
+        gateway=gateway,
+        membership=types.SimpleNamespace(find_owner=lambda *args: ME),
+        metrics=kernels.Anything(),
+        peers=None,
+        terms=Terms(),
+    )
+    plugin = entry.Entry(kernel)
+    body = requests.StatementBody("INSERT", mode="write", **options)
+    caller = entry.Caller("t", "k", config.PlanUse(1.0, 1, {}))
+
+    async def main():
+        await plugin.start(None)
+        return await plugin.run(
+            caller,
+            "g",
+            body,
+            session.Session(),
+            {"request_id": "r", "idempotency_key": ""},
+        )
+
+    return gateway, lambda: trio.run(main)
+
+
+def test_not_run_is_tried_again():
+    gateway, call = run([exceptions.MisroutedError("moved"), "answer"])
+    assert call().target == "p"
+    assert gateway.calls == 2
+
+
+def test_unknown_outcome_is_never_repeated_by_default():
+    gateway, call = run([exceptions.OutcomeUnknownError("lost"), "answer"])
+    with pytest.raises(exceptions.OutcomeUnknownError):
+        call()
+    assert gateway.calls == 1
+
+
+def test_not_run_is_not_claimed_after_an_unknown_attempt():
+    script = [
+        exceptions.OutcomeUnknownError("lost"),
+        exceptions.UnavailableError("refused"),
+    ]
+    gateway, call = run(script, repeatable=True)
+    with pytest.raises(exceptions.RequestError) as caught:
+        call()
+    assert caught.value.executed == "unknown"
+    assert gateway.calls > 1
+
+
+def test_rejection_after_an_unknown_attempt_stays_unknown():
+    script = [
+        exceptions.OutcomeUnknownError("lost"),
+        exceptions.StatementError("no such table"),
+    ]
+    _, call = run(script, repeatable=True)
+    with pytest.raises(exceptions.RequestError) as caught:
+        call()
+    assert caught.value.executed == "unknown"
