--- /dev/null
+++ b/tests/unit/decisions/test_promotion.py
@@ -0,0 +1,122 @@
+"""When a replica may be promoted, and which."""
+
+import pytest
+
+from geraniumridge._internal.decisions import authority
+from geraniumridge._internal.decisions import promises
+from geraniumridge._internal.decisions import promotion
+from geraniumridge._internal.models import records
+
+TTL_S = 4.0
+
+
+def make_promotion(required=("q", "r"), domains=3):
+    """Return a promotion of a group with primary p, recorded at 0."""
+    plan = promotion.Plan(
+        "g",
+        "p",
+        2,
+        {"q": "b", "r": "c"},
+        frozenset(required),
+        frozenset({"p", "q", "r"}),
+        "",
+        domains,
+        TTL_S,
+    )
+    return promotion.Promotion(plan, 0.0)
+
+
+def test_nothing_is_promoted_before_earlier_evidence_has_lapsed():
+    change = make_promotion()
+    change.note_status("q", records.Mark(1, 5))
+    change.note_status("r", records.Mark(1, 4))
+    change.note_closed("b", 0.0, 0.0)
+    change.note_closed("c", 0.0, 3.0)
+    assert change.choose(4.3) is None
+    assert change.choose(4.5) == "q"
+
+
+def test_half_of_the_domains_must_close():
+    change = make_promotion()
+    change.note_status("q", records.Mark(1, 5))
+    change.note_status("r", records.Mark(1, 5))
+    change.note_closed("b", 0.0, 0.0)
+    assert change.choose(100.0) is None
+    change.note_closed("c", 100.0, 4.0)
+    assert change.choose(102.0) is None
+    assert change.choose(104.5) is not None
+
+
+def test_every_replica_that_may_hold_a_write_must_be_seen():
+    change = make_promotion()
+    change.note_closed("b", 0.0, 0.0)
+    change.note_closed("c", 0.0, 0.0)
+    change.note_status("r", records.Mark(1, 4))
+    assert change.choose(10.0) is None
+    change.note_status("q", records.Mark(1, 9))
+    assert change.choose(10.0) == "q"
+
+
+def test_confirmed_demotion_needs_no_wait_but_the_whole_log():
+    change = make_promotion()
+    change.note_demoted(records.Mark(1, 7))
+    change.note_status("q", records.Mark(1, 6))
+    assert change.choose(0.1) is None
+    change.note_status("q", records.Mark(1, 7))
+    assert change.choose(0.1) == "q"
+
+
+@pytest.mark.parametrize("mark", [records.Mark(1, 9), records.Mark(2, 12)])
+def test_session_is_lost_if_a_later_term_began_before_its_mark(mark):
+    starts = (records.Mark(2, 8), records.Mark(3, 11))
+    term = records.GroupTerm(3, "q", starts)
+    assert term.is_lost(mark)
+    assert not term.is_lost(records.Mark(2, 11))
+    assert not term.is_lost(records.Mark(3, 50))
+
+
+def test_evidence_counts_from_when_the_question_was_sent():
+    held = authority.Authority(TTL_S)
+    record = records.TermsRecord({"g": records.GroupTerm(1, "p")})
+    held.note_record(10.0, 5, record)
+    assert held.holds("g", 1, 13.9)
+    assert not held.holds("g", 1, 14.1)
+    assert not held.holds("g", 2, 11.0)
+    held.note_promises(14.0, 5, ())
+    assert held.holds("g", 1, 17.9)
+    held.note_promises(17.0, 5, ("g",))
+    assert not held.holds("g", 1, 17.5)
+
+
+def test_pending_term_ends_the_old_one():
+    held = authority.Authority(TTL_S)
+    pending = records.PendingTerm(2, "vm", "id")
+    term = records.GroupTerm(1, "p", (), pending)
+    held.note_record(0.0, 1, records.TermsRecord({"g": term}))
+    assert not held.holds("g", 1, 0.1)
+
+
+def test_promise_and_closing_never_overlap():
+    domain = promises.Promises(TTL_S)
+    domain.begin(0.0)
+    assert not domain.promise(1.0, 0.5, 1, 1).promised
+    assert domain.promise(5.0, 4.5, 1, 1).promised
+    closing = domain.close(6.0, "g", 2)
+    assert closing.closed and closing.remaining_s == pytest.approx(3.0)
+    assert domain.promise(7.0, 6.5, 1, 1).closed == {"g"}
+
+
+def test_new_speaker_promises_nothing_before_it_has_read_the_terms():
+    domain = promises.Promises(TTL_S)
+    domain.begin(100.0)
+    assert not domain.promise(200.0, 99.0, 1, 1).promised
+    assert not domain.promise(200.0, 150.0, 2, 1).promised
+    assert domain.promise(200.0, 150.0, 1, 1).promised
+
+
+def test_new_speaker_closes_only_after_its_predecessors_promises():
+    domain = promises.Promises(TTL_S)
+    domain.begin(100.0)
+    assert domain.close(101.0, "g", 2).remaining_s == pytest.approx(3.0)
+    domain.end()
+    assert not domain.close(102.0, "g", 2).closed
