--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,7 +18,11 @@
 import time
 import typing
 
+import trio
+
 from geraniumridge._internal.models import config
+from geraniumridge._internal.network import configstore
+from geraniumridge._internal.network import platform
 
 READY_TIMEOUT_S = 15.0
 POLL_S = 0.05
@@ -111,6 +115,8 @@
         Time that each statement takes at its target.
     proxied : bool, optional
         Put the fault proxy between the domains, so that `cut` works.
+    connections : int, optional
+        Connection limit of each target.
     """
 
     def __init__(
@@ -123,11 +129,13 @@
         settings="",
         service_ms=1,
         proxied=False,
+        connections=20,
     ):
         self.domains = domains
         self.groups = groups
         self.lag_ms = lag_ms
         self.service_ms = service_ms
+        self.connections = connections
         self.teams = teams or {"coop": (1000.0, 1000)}
         self.extra_settings = settings
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
@@ -162,6 +170,27 @@
         self.link(addresses[1])
         return self.vms[name]
 
+    def delay(self, milliseconds):
+        """Delay each passage of the fault proxy."""
+        data = {"delay_ms": milliseconds}
+        request(self.proxy_admin, "PUT", "/admin", data)
+
+    def get_primary(self, group):
+        """Return the target that the record names as primary."""
+        terms = request(self.platform, "GET", "/kv/terms").data["value"]
+        return terms[group]["primary"]
+
+    def edit(self, section, name, value):
+        """Set one entry of the configuration, as an operator does."""
+
+        async def commit():
+            client = platform.PlatformClient(self.platform, 5.0)
+            loaded = await configstore.load_chain(client)
+            edits = [config.Edit(section, name, value)]
+            return await configstore.commit(client, loaded, "fleet", edits)
+
+        return trio.run(commit)
+
     def get_host(self, domain):
         """Return the loopback address of a domain."""
         return f"127.0.{FIRST_DOMAIN + self.domains.index(domain)}.1"
@@ -241,6 +270,7 @@
         """Start a database group with one instance per domain."""
         arguments = ["-m", "standins.group", "--lag-ms", str(self.lag_ms)]
         arguments += ["--service-ms", str(self.service_ms)]
+        arguments += ["--connections", str(self.connections)]
         for domain in self.domains:
             address = reserve_address(self.get_host(domain))
             self.link(address)
@@ -282,7 +312,11 @@
                 name = f"{group}-{domain}"
                 address = self.targets[group, name]
                 front = self.get_front(address)
-                entry = {"address": front, "domain": domain}
+                entry = {
+                    "address": front,
+                    "domain": domain,
+                    "connections": self.connections,
+                }
                 groups[group]["targets"][name] = entry
         use = {
             f"plan-{team}": {
--- /dev/null
+++ b/standins/loadgen.py
@@ -0,0 +1,150 @@
+"""Open-loop load of several teams, with roaming sessions."""
+
+import contextlib
+import itertools
+import random
+import time
+import typing
+
+import msgspec
+import trio
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.network import http
+
+READ_SHARE = 0.9
+HOME_SHARE = 0.8
+MAX_IDLE_PER_VM = 64
+
+_NUMBERS = itertools.count(1)
+
+
+class Team(typing.NamedTuple):
+    """One team's load: requests per second, and where from."""
+
+    name: str
+    key: str
+    rate: float
+    home: str
+    group: str
+
+
+class Sample(typing.NamedTuple):
+    """One request; times in seconds, status 0 without an answer."""
+
+    team: str
+    mode: str
+    started: float
+    latency: float
+    status: int
+    code: str
+
+
+class Load:
+    """Sends teams' requests to the VMs of a fleet.
+
+    Parameters
+    ----------
+    addresses : dict of str to str
+        Callers' address by VM.
+    teams : sequence of Team
+        Who sends.
+    seed : int
+        Seed of arrivals, VMs and modes.
+    client_ms : float
+        Time between caller and VM, one way.
+    """
+
+    def __init__(self, addresses, teams, seed=1, client_ms=0.0):
+        self._addresses = addresses
+        self._teams = {team.name: team for team in teams}
+        self._random = random.Random(seed)
+        self._client_s = client_ms / 1000
+        self._idle = {name: [] for name in addresses}
+        self._tokens = {}
+        self.factors = {}
+        self.samples = []
+
+    def list_teams(self):
+        """Return the teams that send."""
+        return list(self._teams.values())
+
+    async def run(self, seconds):
+        """Send for a while; returns the samples of that time."""
+        first = len(self.samples)
+        async with trio.open_nursery() as nursery:
+            with trio.move_on_after(seconds):
+                async with trio.open_nursery() as arrivals:
+                    for team in self._teams.values():
+                        arrivals.start_soon(self._arrive, team, nursery)
+        return self.samples[first:]
+
+    async def _arrive(self, team, nursery):
+        while True:
+            rate = team.rate * self.factors.get(team.name, 1.0)
+            await trio.sleep(self._random.expovariate(rate))
+            nursery.start_soon(self._send, team)
+
+    async def _send(self, team):
+        names = list(self._addresses)
+        vm = team.home
+        if self._random.random() > HOME_SHARE:
+            vm = self._random.choice(names)
+        mode = "read"
+        sql = "SELECT count(*) FROM t WHERE x < 10"
+        if self._random.random() > READ_SHARE:
+            mode = "write"
+            sql = f"INSERT INTO t VALUES ({next(_NUMBERS)})"
+        started = time.monotonic()
+        status, code = 0, "no-answer"
+        with contextlib.suppress(exceptions.NetworkError, trio.TooSlowError):
+            with trio.fail_after(30):
+                status, code = await self._exchange(team, vm, mode, sql)
+        latency = time.monotonic() - started
+        self.samples.append(
+            Sample(team.name, mode, started, latency, status, code)
+        )
+
+    async def _exchange(self, team, vm, mode, sql):
+        await trio.sleep(self._client_s)
+        client = await self._take_client(vm)
+        headers = [
+            ("Authorization", f"Bearer {team.key}"),
+            ("Geraniumridge-Session", self._tokens.get(team.name, "")),
+        ]
+        body = msgspec.json.encode({"sql": sql, "mode": mode})
+        path = f"/v1/groups/{team.group}/statements"
+        try:
+            response = await client.request("POST", path, body, headers)
+        except BaseException:
+            await client.close()
+            raise
+        await self._give_client(vm, client)
+        await trio.sleep(self._client_s)
+        data = msgspec.json.decode(response.body)
+        for name, value in response.headers:
+            if name.lower() == "geraniumridge-session":
+                self._tokens[team.name] = value
+        return response.status, data.get("code", "")
+
+    async def _take_client(self, vm):
+        while self._idle[vm]:
+            client = self._idle[vm].pop()
+            if client.is_usable:
+                return client
+        return await http.open_client(self._addresses[vm], timeout_s=5)
+
+    async def _give_client(self, vm, client):
+        if client.is_usable and len(self._idle[vm]) < MAX_IDLE_PER_VM:
+            self._idle[vm].append(client)
+        else:
+            await client.close()
+
+
+def get_percentile(values, percent):
+    """Return a percentile of some values, 0.0 without any."""
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    rank = min(len(ordered) - 1, int(len(ordered) * percent / 100))
+    return ordered[rank]
