Let planned moves and stops cut no request; settle limiters first

Cause, one by one: - a demoted primary was itself the only target as far as its own log, so a planned move gave the group back to it; - a write that ran just before a planned move waited for a replica of the old term for 10 s, and requests in flight were given up when the term changed; - a limiter that had just taken over answered 'empty', which callers saw as rate-limited; a resigned leader's cell counted no share for 4.4 s although nobody else could count it; - a group with a single instance waited for a replica that it has not. Ruled out: the order of drain, and queues at the gateway. Change: replicas get 3 s to catch up before a demoted primary returns; a write that a later term in force took over is acknowledged; limiters refuse as 'not settled' until the last one's batches expired; members report whether their last leader had counted them.

--- a/src/geraniumridge/_internal/decisions/cell.py
+++ b/src/geraniumridge/_internal/decisions/cell.py
@@ -77,6 +77,7 @@
         self._dropped_at = -math.inf
         self._continuity = 0
         self._bases = ()
+        self._counted = False
         self._leader_address = ""
         self._contact_at = now
         self._next_beat_at = now
@@ -235,6 +236,7 @@
         self._echo = max(self._echo, answer.stamp)
         base_changed = self._bases != answer.bases
         self._bases = answer.bases
+        self._counted = answer.counted
         self._leader_address = address
         return changed or base_changed
 
@@ -245,6 +247,7 @@
             return membership.ClaimAnswer(False, seen, self._get_hint(now))
         self._promised = claim.number
         number, leader = self._view.epoch if self._view else (0, "")
+        counted = self._counted
         self._drop_rights(now)
         self._view = None
         self._contact_at = now
@@ -257,6 +260,7 @@
             leader,
             self._is_leaving,
             self._bases,
+            counted,
         )
 
     def take_claim_answer(self, now, number, sender, answer):
@@ -336,6 +340,7 @@
         self._lease_until = -math.inf
         self._share = 0.0
         self._echo = 0.0
+        self._counted = False
         self._dropped_at = now
         self._continuity += 1
 
@@ -404,6 +409,7 @@
                 for sender, answer in candidacy.accepted.items()
                 if answer.leaving
             ),
+            self._list_counted(candidacy),
         )
         answers = candidacy.accepted.values()
         bases = set(self._bases).union(*(item.bases for item in answers))
@@ -424,6 +430,17 @@
             history,
         )
 
+    def _list_counted(self, candidacy):
+        """Return whose share their last leader had counted."""
+        names = {
+            sender.name
+            for sender, answer in candidacy.accepted.items()
+            if answer.counted
+        }
+        if self._counted:
+            names.add(self._me.name)
+        return frozenset(names)
+
     def _is_fresh(self, candidacy):
         """Tell whether no listed VM ever followed anybody."""
         answers = candidacy.accepted.values()
--- a/src/geraniumridge/_internal/decisions/leadership.py
+++ b/src/geraniumridge/_internal/decisions/leadership.py
@@ -13,12 +13,14 @@
     """What a new leader knows of the time before its claim.
 
     `complete` tells that nobody can act under an earlier view any
-    more, `fresh` that nobody ever had one, `left` who has left.
+    more, `fresh` that nobody ever had one, `left` who has left, and
+    `counted` whose part of the share an ended leader had counted.
     """
 
     complete: bool = False
     fresh: bool = False
     left: frozenset[str] = frozenset()
+    counted: frozenset[str] = frozenset()
 
 
 class Leadership:
@@ -56,7 +58,9 @@
         # An earlier leader may count a VM until its evidence and then
         # the grants made on it have lapsed.
         self._counted_from = {
-            member.name: now + count_s for member in self._view.members
+            member.name: now + count_s
+            for member in self._view.members
+            if not (history.complete and member.name in history.counted)
         }
         self._evidence = {}
         self._granted_until = {}
@@ -164,6 +168,7 @@
             speaks=self.speaks(now),
             stamp=now,
             bases=self.list_announced(),
+            counted=sender.name in set(self._list_counted(now)),
         )
 
     def get_share(self, now):
--- a/src/geraniumridge/_internal/decisions/limiter.py
+++ b/src/geraniumridge/_internal/decisions/limiter.py
@@ -120,6 +120,7 @@
         self._level = 0.0
         # Batches of a limiter before this one may still be spent.
         self._filled_at = now + BATCH_TTL_S * DRIFT
+        self._settled_at = self._filled_at
         self._batches = {}
         self._next_batch = 1
 
@@ -128,6 +129,10 @@
         """Tokens handed out that may not be spent yet."""
         return sum(batch.count for batch in self._batches.values())
 
+    def is_settled(self, now):
+        """Tell whether batches of an earlier limiter have expired."""
+        return now >= self._settled_at
+
     def draw(self, now, allowance, waiting, prepaid, closed=()):
         """Hand out tokens.
 
--- a/src/geraniumridge/_internal/decisions/promotion.py
+++ b/src/geraniumridge/_internal/decisions/promotion.py
@@ -6,6 +6,8 @@
 from geraniumridge._internal.models import records
 
 DRIFT = 1.1
+RETURN_S = 3.0
+"""How long replicas may take to catch up with a demoted primary."""
 
 
 class Plan(typing.NamedTuple):
@@ -48,6 +50,7 @@
         self._evidence_until = now + plan.ttl_s * DRIFT
         self._closed_until = {}
         self._demoted = None
+        self._return_from = math.inf
         self._marks = {}
 
     @property
@@ -64,9 +67,10 @@
         """Take a domain's closing of the group to promises."""
         self._closed_until[domain] = now + remaining_s * DRIFT
 
-    def note_demoted(self, mark):
+    def note_demoted(self, now, mark):
         """Take the old primary's last mark; it takes no more writes."""
         self._demoted = mark
+        self._return_from = now + RETURN_S
 
     def note_status(self, target, mark):
         """Take a replica's place in the log."""
@@ -86,7 +90,7 @@
         """Return the target to promote, None while there is none."""
         if not self.is_fenced(now):
             return None
-        candidates = self._list_candidates()
+        candidates = self._list_candidates(now)
         if not candidates:
             return None
         best = max(self._marks[name] for name in candidates)
@@ -94,12 +98,15 @@
         holders = [name for name in candidates if self._marks[name] == best]
         return min(holders, key=self._get_rank)
 
-    def _list_candidates(self):
+    def _list_candidates(self, now):
         if self._demoted is not None:
             return [
                 name
                 for name, mark in self._marks.items()
                 if mark.position >= self._demoted.position
+                and (
+                    name != self._plan.old_primary or now >= self._return_from
+                )
             ]
         if not self._plan.required <= self._marks.keys():
             return []
--- a/src/geraniumridge/_internal/models/config.py
+++ b/src/geraniumridge/_internal/models/config.py
@@ -63,6 +63,20 @@
     acknowledge: typing.Literal["primary", "replica"] = "replica"
     primary: str = ""
 
+    def list_confirming(self, primary):
+        """Return the replicas of which one must hold a write.
+
+        They lie outside the primary's domain where there are any.
+        """
+        if self.acknowledge == "primary":
+            return frozenset()
+        home = self.targets[primary].domain if primary in self.targets else ""
+        others = [name for name in self.targets if name != primary]
+        outside = [
+            name for name in others if self.targets[name].domain != home
+        ]
+        return frozenset(outside or others)
+
 
 class Document(typing.NamedTuple):
     """The whole configuration at one version."""
--- a/src/geraniumridge/_internal/models/membership.py
+++ b/src/geraniumridge/_internal/models/membership.py
@@ -64,7 +64,11 @@
 
 
 class HeartbeatAnswer(typing.NamedTuple):
-    """The leader's grant; another VM's hint where the leader is."""
+    """The leader's grant; another VM's hint where the leader is.
+
+    `counted` tells the member that the leader counts its part of the
+    share, so that no earlier leader can.
+    """
 
     granted: bool
     number: int
@@ -77,6 +81,7 @@
     speaks: bool = False
     stamp: float = 0.0
     bases: tuple[Base, ...] = ()
+    counted: bool = False
 
 
 class Claim(typing.NamedTuple):
@@ -100,3 +105,4 @@
     epoch_leader: str = ""
     leaving: bool = False
     bases: tuple[Base, ...] = ()
+    counted: bool = False
--- a/src/geraniumridge/_internal/network/wire.thrift
+++ b/src/geraniumridge/_internal/network/wire.thrift
@@ -99,6 +99,7 @@
   9: bool speaks,
   10: double stamp,
   11: list<Base> bases,
+  12: bool counted,
   20: i64 config_version,
   21: i64 terms_revision,
   22: i64 directory_version,
@@ -122,6 +123,7 @@
   5: string epoch_leader,
   6: bool leaving,
   7: list<Base> bases,
+  8: bool counted,
   20: Member sender,
 }
 
--- a/src/geraniumridge/_internal/plugins/admission.py
+++ b/src/geraniumridge/_internal/plugins/admission.py
@@ -14,7 +14,7 @@
 
 CALL_TIMEOUT_S = 0.5
 RETRY_S = 0.05
-UNREACHABLE_WAIT_S = 4.0
+UNREACHABLE_WAIT_S = 6.0
 MAX_WAITING = 256
 
 
--- a/src/geraniumridge/_internal/plugins/durability.py
+++ b/src/geraniumridge/_internal/plugins/durability.py
@@ -50,8 +50,8 @@
         self._peers = self._kernel.get("peers")
         self._nursery = nursery
 
-    async def wait(self, group, mark, deadline):
-        """Wait until a replica outside this domain holds a mark.
+    async def wait(self, group, targets, mark, deadline):
+        """Wait until one of some replicas holds a mark.
 
         Returns
         -------
@@ -60,7 +60,7 @@
         """
         waiters = self._groups.setdefault(group, _GroupWaiters())
         event = waiters.add(mark)
-        for target in self._list_replicas(group):
+        for target in targets:
             if target not in waiters.asking:
                 waiters.asking.add(target)
                 self._nursery.start_soon(self._ask, group, target, waiters)
@@ -72,13 +72,6 @@
                 waiters.waiting.pop(mark, None)
         return event.is_set()
 
-    def _list_replicas(self, group):
-        domain = self._settings.vm.domain
-        targets = self._configuration.document.groups[group].targets
-        return [
-            name for name, item in targets.items() if item.domain != domain
-        ]
-
     async def _ask(self, group, target, waiters):
         """Ask one replica again and again while writes wait."""
         try:
--- a/src/geraniumridge/_internal/plugins/failover.py
+++ b/src/geraniumridge/_internal/plugins/failover.py
@@ -293,16 +293,12 @@
             for name, item in entry.targets.items()
             if name != known.primary
         }
-        home = entry.targets[known.primary].domain
-        outside = {name for name, where in replicas.items() if where != home}
-        if entry.acknowledge == "primary":
-            outside = set()
         return promotion.Plan(
             group,
             known.primary,
             pending.term,
             replicas,
-            frozenset(outside),
+            entry.list_confirming(known.primary),
             self._list_in_service(group),
             entry.primary,
             len(self._configuration.document.domains),
@@ -345,7 +341,7 @@
             )
             if not status.is_primary:
                 mark = records.Mark(status.term, status.position)
-                change.note_demoted(mark)
+                change.note_demoted(trio.current_time(), mark)
 
     async def _ask_status(self, target, change):
         with contextlib.suppress(
--- a/src/geraniumridge/_internal/plugins/gateway.py
+++ b/src/geraniumridge/_internal/plugins/gateway.py
@@ -1,6 +1,5 @@
 """Gateway: owns the connections and slots of its targets."""
 
-import contextlib
 import logging
 import secrets
 
@@ -19,6 +18,7 @@
 
 TRANSACTION_SWEEP_S = 0.5
 STOP_POLL_S = 0.02
+CONFIRM_STEP_S = 0.25
 
 ACTIONS = registry.Registry("statement action")
 
@@ -31,6 +31,7 @@
         self.client = client
         self.team = statement.team
         self.group = statement.group
+        self.target = statement.target
         self.key_hash = statement.key_hash
         self.term = term
         self.began_at = now
@@ -47,7 +48,6 @@
         super().__init__(owner)
         self._gates = {}
         self._transactions = {}
-        self._scopes = {}
         self._running = 0
 
     async def start(self, nursery):
@@ -62,7 +62,6 @@
         peers.handle(wire.messages.Promote, self._answer_promote)
         peers.handle(wire.messages.Await, self._answer_await)
         nursery.start_soon(self._sweep_transactions)
-        nursery.start_soon(self._watch_terms)
         nursery.start_soon(self._run_gates, nursery)
 
     async def drain(self):
@@ -107,10 +106,9 @@
         ) as wait:
             term = self._check_authority(statement)
             body = _make_body(statement, term)
-            with self._until_term_ends(statement.group, term):
-                answer = await gate.run("/statement", body)
+            answer = await gate.run("/statement", body)
         if statement.is_write or statement.is_primary:
-            await self._confirm(statement, gate, answer, deadline)
+            await self._confirm(statement, answer, deadline)
         return _make_answer(answer, wait)
 
     @ACTIONS.register("begin")
@@ -159,6 +157,7 @@
         async with transaction.lock:
             _check_open(transaction)
             statement.group = transaction.group
+            statement.target = transaction.target
             term = transaction.term
             now = trio.current_time()
             if not self._terms.authority.holds(statement.group, term, now):
@@ -173,8 +172,7 @@
                 answer = await self._run_in(transaction, "/commit", body)
             finally:
                 await self._end(statement.transaction)
-            gate = transaction.gate
-            await self._confirm(statement, gate, answer, deadline)
+            await self._confirm(statement, answer, deadline)
         return _make_answer(answer, 0.0)
 
     @ACTIONS.register("rollback")
@@ -231,37 +229,6 @@
             )
         return gate
 
-    @contextlib.contextmanager
-    def _until_term_ends(self, group, term):
-        """Give up once a later term is known: no answer can pass then.
-
-        Raises
-        ------
-        exceptions.OutcomeUnknownError
-            If the term ended while the block ran.
-        """
-        if not term:
-            yield
-            return
-        with trio.CancelScope() as scope:
-            self._scopes[scope] = (group, term)
-            try:
-                yield
-            finally:
-                del self._scopes[scope]
-        if scope.cancelled_caught:
-            raise exceptions.OutcomeUnknownError(
-                f"{group}: term {term} ended while the request ran"
-            )
-
-    async def _watch_terms(self):
-        while True:
-            await self._terms.wait_changed(TRANSACTION_SWEEP_S)
-            for scope, (group, term) in list(self._scopes.items()):
-                known = self._terms.authority.get_group(group)
-                if known is not None and known.term != term:
-                    scope.cancel()
-
     def _check_authority(self, statement):
         """Return the term that may be acknowledged, 0 for a replica."""
         if not statement.is_write and not statement.is_primary:
@@ -276,30 +243,61 @@
             )
         return known.term
 
-    async def _confirm(self, statement, gate, answer, deadline):
-        """Let an answer of the primary pass, or say it is unknown."""
+    async def _confirm(self, statement, answer, deadline):
+        """Let an answer of the primary pass, or say it is unknown.
+
+        It passes while its term is known to be in force and, for a
+        write, a replica holds it; or once a later term that took the
+        write over is in force.
+        """
+        group = statement.group
         mark = records.Mark(answer["term"], answer["position"])
-        if statement.is_write and not answer.get("replayed"):
-            await self._wait_replica(statement, gate, mark, deadline)
-        now = trio.current_time()
-        holds = self._terms.authority.holds(statement.group, mark.term, now)
-        if not holds:
-            self._metrics.count("answers_withheld")
+        needs_replica = statement.is_write and not answer.get("replayed")
+        held = not needs_replica
+        while True:
+            if self._is_taken_over(group, mark):
+                return
+            until = min(deadline, trio.current_time() + CONFIRM_STEP_S)
+            held = held or await self._wait_replica(statement, mark, until)
+            now = trio.current_time()
+            if held and self._terms.authority.holds(group, mark.term, now):
+                return
+            if now >= deadline:
+                break
+            if held:
+                await self._terms.wait_changed(CONFIRM_STEP_S)
+        self._metrics.count("answers_withheld")
+        reason = "the primary's term could not be confirmed"
+        if not held:
+            reason = "no replica confirmed the write in time"
+        raise exceptions.OutcomeUnknownError(reason)
+
+    def _is_taken_over(self, group, mark):
+        """Tell whether a later term in force has taken a mark over.
+
+        Raises
+        ------
+        exceptions.OutcomeUnknownError
+            If a later term began before the mark.
+        """
+        known = self._terms.authority.get_group(group)
+        if known is None or known.term <= mark.term:
+            return False
+        if known.is_lost(mark):
             raise exceptions.OutcomeUnknownError(
-                "the primary's term lapsed while the request ran"
+                "the request ran on a former primary"
             )
+        return True
 
-    async def _wait_replica(self, statement, gate, mark, deadline):
+    async def _wait_replica(self, statement, mark, deadline):
         group = self._configuration.document.groups.get(statement.group)
-        if group is None or group.acknowledge == "primary":
-            return
-        if not await self._kernel.get("durability").wait(
-            statement.group, mark, deadline
-        ):
-            self._metrics.count("writes_unconfirmed")
-            raise exceptions.OutcomeUnknownError(
-                "no replica confirmed the write in time"
-            )
+        if group is None:
+            return False
+        targets = group.list_confirming(statement.target)
+        if not targets:
+            return True
+        durability = self._kernel.get("durability")
+        return await durability.wait(statement.group, targets, mark, deadline)
 
     async def _run_gates(self, nursery):
         """Keep one gate for each target that this VM owns."""
--- a/src/geraniumridge/_internal/plugins/limiter.py
+++ b/src/geraniumridge/_internal/plugins/limiter.py
@@ -50,6 +50,9 @@
         bucket = self._buckets.get(message.team)
         if bucket is None:
             bucket = self._buckets[message.team] = limiter.Bucket(now)
+        if not bucket.is_settled(now) or not self._membership.get_share():
+            # No tokens yet is not the same as a team above its rate.
+            raise exceptions.MisroutedError(f"{name} is not settled yet")
         result = bucket.draw(
             now,
             self._find_allowance(message.team),
--- /dev/null
+++ b/tests/functional/test_leaving.py
@@ -0,0 +1,91 @@
+"""Planned stops, and domains and targets out of service, under load."""
+
+import signal
+import time
+
+from lib import load
+from standins import fleet
+
+DOMAINS = ("a", "b", "c")
+OUT_LIMIT_S = 5.0
+
+
+def get_executed(deployment, target):
+    """Return how many requests an instance has executed."""
+    return len(deployment.set_target("ledger", target)["executed"])
+
+
+def test_domain_taken_out_gets_no_new_work_and_loses_none():
+    with fleet.Fleet(DOMAINS, vms_per_domain=2) as deployment:
+        load.create_table(deployment)
+        vms = list(deployment.vms)
+        with load.Writers(deployment, vms) as writers:
+            writers.run(2)
+            deployment.edit("domains", "a", {"in_service": False})
+            time.sleep(OUT_LIMIT_S)
+            before = get_executed(deployment, "ledger-a")
+            for _ in range(40):
+                deployment.read("a-1", "ledger", "SELECT count(*) FROM t")
+            writers.run(3)
+            assert get_executed(deployment, "ledger-a") == before
+            deployment.edit("domains", "a", {"in_service": True})
+            writers.run(4)
+            for _ in range(40):
+                deployment.read("a-1", "ledger", "SELECT count(*) FROM t")
+            assert get_executed(deployment, "ledger-a") > before
+        load.check_history(deployment, writers.history)
+        assert [item for item in writers.history if item.status != 200] == []
+        assert deployment.get_primary("ledger") != "ledger-a"
+
+
+def test_target_taken_out_hands_its_primary_over():
+    with fleet.Fleet(DOMAINS, vms_per_domain=2) as deployment:
+        load.create_table(deployment)
+        with load.Writers(deployment, list(deployment.vms)) as writers:
+            writers.run(1)
+            document = deployment.make_document()
+            group = document["groups"]["ledger"]
+            group["targets"]["ledger-a"]["in_service"] = False
+            deployment.edit("groups", "ledger", group)
+            writers.run(6)
+        load.check_history(deployment, writers.history)
+        assert [item for item in writers.history if item.status != 200] == []
+        assert deployment.get_primary("ledger") != "ledger-a"
+
+
+def test_sigterm_of_one_vm_after_another_cuts_no_request():
+    with fleet.Fleet(DOMAINS[:2], vms_per_domain=3) as deployment:
+        load.create_table(deployment)
+        staying = ["a-3", "b-3"]
+        with load.Writers(deployment, staying * 2) as writers:
+            writers.run(1)
+            for name in ("a-1", "b-1", "a-2", "b-2"):
+                deployment.signal(name, signal.SIGTERM)
+                assert deployment.processes[name].wait(timeout=30) == 0
+                writers.run(1)
+        load.check_history(deployment, writers.history)
+        assert [item for item in writers.history if item.status != 200] == []
+
+
+def test_killed_vm_leaves_no_half_of_a_transaction():
+    with fleet.Fleet(DOMAINS[:2], vms_per_domain=2) as deployment:
+        load.create_table(deployment)
+        path = "/v1/groups/ledger/transactions"
+        begun = deployment.send("b-1", path, {})
+        name = begun.data["transaction"]
+        step = f"/v1/transactions/{name}/statements"
+        body = {"sql": "INSERT INTO t VALUES (1)", "mode": "write"}
+        assert deployment.send("b-1", step, body).status == 200
+        deployment.kill(name.partition("~")[0])
+        survivor = next(
+            vm for vm in ("a-1", "a-2") if vm != name.partition("~")[0]
+        )
+
+        def is_written():
+            sql = "INSERT INTO t VALUES (2)"
+            return deployment.write(survivor, "ledger", sql).status == 200
+
+        fleet.wait_for(is_written, "a write after the kill", timeout_s=40)
+        assert 1 not in load.read_log(deployment)
+        answer = deployment.send("b-1", step, body)
+        assert answer.status != 200
--- a/tests/unit/decisions/test_promotion.py
+++ b/tests/unit/decisions/test_promotion.py
@@ -59,13 +59,22 @@
 
 def test_confirmed_demotion_needs_no_wait_but_the_whole_log():
     change = make_promotion()
-    change.note_demoted(records.Mark(1, 7))
+    change.note_demoted(0.0, records.Mark(1, 7))
     change.note_status("q", records.Mark(1, 6))
     assert change.choose(0.1) is None
     change.note_status("q", records.Mark(1, 7))
     assert change.choose(0.1) == "q"
 
 
+def test_demoted_primary_returns_only_if_no_replica_catches_up():
+    change = make_promotion()
+    change.note_demoted(0.0, records.Mark(1, 7))
+    change.note_status("p", records.Mark(1, 7))
+    change.note_status("q", records.Mark(1, 6))
+    assert change.choose(0.1) is None
+    assert change.choose(3.1) == "p"
+
+
 @pytest.mark.parametrize("mark", [records.Mark(1, 9), records.Mark(2, 12)])
 def test_session_is_lost_if_a_later_term_began_before_its_mark(mark):
     starts = (records.Mark(2, 8), records.Mark(3, 11))
