--- a/src/geraniumridge/_internal/cli/tool.py
+++ b/src/geraniumridge/_internal/cli/tool.py
@@ -10,6 +10,7 @@
 from geraniumridge._internal.commands import reports
 from geraniumridge._internal.commands import service
 from geraniumridge._internal.commands import tables
+from geraniumridge._internal.models import settings
 
 Command = (
     reports.Status
@@ -20,6 +21,7 @@
     | keys.Keys
     | service.Domains
     | service.Targets
+    | service.Failover
 )
 
 
@@ -55,6 +57,15 @@
             help="The daemons' operator secret.",
         ),
     ] = ""
+    certificate: typing.Annotated[
+        str, cappa.Arg(long="--certificate", help="Own certificate, PEM.")
+    ] = ""
+    key: typing.Annotated[
+        str, cappa.Arg(long="--key", help="Its private key, PEM.")
+    ] = ""
+    authority: typing.Annotated[
+        str, cappa.Arg(long="--authority", help="Trusted authority, PEM.")
+    ] = ""
     as_json: typing.Annotated[
         bool, cappa.Arg(long="--json", help="Print JSON.")
     ] = False
@@ -63,8 +74,11 @@
 def main():
     """Parse the command line and run the command."""
     tool = cappa.parse(Tool, completion=False)
+    tls = None
+    if tool.authority:
+        tls = settings.TlsSettings(tool.certificate, tool.key, tool.authority)
     options = base.Options(
-        tool.platform, tool.author, tool.secret, tool.as_json
+        tool.platform, tool.author, tool.secret, tool.as_json, tls
     )
     try:
         tool.command.run(options)
--- a/src/geraniumridge/_internal/commands/base.py
+++ b/src/geraniumridge/_internal/commands/base.py
@@ -10,9 +10,11 @@
 import trio
 
 from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import settings
 from geraniumridge._internal.network import configstore
 from geraniumridge._internal.network import http
 from geraniumridge._internal.network import platform
+from geraniumridge._internal.network import streams
 
 PLATFORM_TIMEOUT_S = 5.0
 
@@ -29,6 +31,7 @@
     author: str
     secret: str
     as_json: bool
+    tls: settings.TlsSettings | None = None
 
 
 def fail(message, code=EXIT_FAILED):
@@ -128,7 +131,10 @@
     if options.secret:
         headers.append(("Authorization", f"Bearer {options.secret}"))
     try:
-        response = await http.fetch(vm.operators, "GET", page, headers=headers)
+        tls = streams.make_client_context(options.tls)
+        response = await http.fetch(
+            vm.operators, "GET", page, headers=headers, tls=tls
+        )
     except exceptions.NetworkError:
         return None
     data = json.loads(response.body)
--- a/src/geraniumridge/_internal/commands/service.py
+++ b/src/geraniumridge/_internal/commands/service.py
@@ -55,6 +55,33 @@
         return [config.Edit("domains", self.name, decode.encode(entry))]
 
 
+@cappa.command(name="failover", help="Move a group's primary.")
+@dataclasses.dataclass
+class Failover:
+    """Name the target that is to be a group's primary."""
+
+    group: typing.Annotated[str, cappa.Arg(help="Name of the group.")]
+    target: typing.Annotated[str, cappa.Arg(help="Name of the target.")]
+
+    def run(self, options):
+        """Commit the group's wanted primary."""
+
+        async def commit(client):
+            return await base.commit_edits(client, options, self.make_edits)
+
+        base.print_version(options, base.run(commit, options))
+
+    def make_edits(self, document):
+        """Return the edit that names the primary."""
+        entry = document.groups.get(self.group)
+        if entry is None:
+            raise exceptions.SettingsError(
+                "groups", [f"{self.group}: No such group"]
+            )
+        entry = entry._replace(primary=self.target)
+        return [config.Edit("groups", self.group, decode.encode(entry))]
+
+
 @cappa.command(name="targets", help="Take targets out, or in.")
 @dataclasses.dataclass
 class Targets:
--- a/src/geraniumridge/_internal/network/http.py
+++ b/src/geraniumridge/_internal/network/http.py
@@ -156,10 +156,16 @@
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in head.headers
         }
-        with trio.fail_after(self._limits.head_timeout_s):
-            body = await self._read_body()
+        parts = []
+        # Most bodies arrive with their head: no timer for these.
+        if not self._take_body(parts):
+            with trio.fail_after(self._limits.head_timeout_s):
+                await self._read_body(parts)
         return Request(
-            head.method.decode(), head.target.decode(), headers, body
+            head.method.decode(),
+            head.target.decode(),
+            headers,
+            b"".join(parts),
         )
 
     async def _read_head(self):
@@ -183,26 +189,26 @@
         self._conn.receive_data(data)
         return data
 
-    async def _read_body(self):
-        parts = []
-        size = 0
-        while True:
+    async def _read_body(self, parts):
+        while not self._take_body(parts):
             if self._conn.they_are_waiting_for_100_continue:
                 go = h11.InformationalResponse(status_code=100, headers=[])
                 await self._stream.send_all(self._conn.send(go))
+            await self._receive()
+
+    def _take_body(self, parts):
+        """Take the body received so far; tells whether it is whole."""
+        while True:
             event = self._conn.next_event()
             if event is h11.NEED_DATA:
-                await self._receive()
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._limits.max_body_bytes:
-                    raise exceptions.TooLargeError(
-                        "body: larger than"
-                        f" {self._limits.max_body_bytes} bytes"
-                    )
-                parts.append(bytes(event.data))
-            else:
-                return b"".join(parts)
+                return False
+            if not isinstance(event, h11.Data):
+                return True
+            parts.append(bytes(event.data))
+            if sum(map(len, parts)) > self._limits.max_body_bytes:
+                raise exceptions.TooLargeError(
+                    f"body: larger than {self._limits.max_body_bytes} bytes"
+                )
 
     async def _send(self, response, close):
         headers = [
@@ -317,7 +323,9 @@
     return ClientConnection(stream, address)
 
 
-async def fetch(address, method, path, data=None, headers=(), timeout_s=1.0):
+async def fetch(
+    address, method, path, data=None, headers=(), timeout_s=1.0, tls=None
+):
     """Send one JSON request on a connection of its own.
 
     Raises
@@ -328,7 +336,7 @@
     body = b"" if data is None else msgspec.json.encode(data)
     try:
         with trio.fail_after(timeout_s):
-            client = await open_client(address, timeout_s=timeout_s)
+            client = await open_client(address, tls, timeout_s)
             try:
                 return await client.request(method, path, body, headers)
             finally:
--- a/src/geraniumridge/_internal/network/peers.py
+++ b/src/geraniumridge/_internal/network/peers.py
@@ -38,6 +38,15 @@
 )
 
 
+class Traffic:
+    """Bytes and frames of control and statements between daemons."""
+
+    def __init__(self):
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.frames = 0
+
+
 class FrameStream:
     """Reads and writes whole frames on a byte stream.
 
@@ -45,8 +54,9 @@
     gives up never leaves half a frame on the connection.
     """
 
-    def __init__(self, stream):
+    def __init__(self, stream, traffic):
         self._stream = stream
+        self._traffic = traffic
         self._buffer = bytearray()
         self._posted = []
         self._wake = trio.Event()
@@ -75,6 +85,7 @@
                 self._wake = trio.Event()
                 batch = b"".join(self._posted)
                 self._posted.clear()
+                self._traffic.sent_bytes += len(batch)
                 with trio.fail_after(SEND_TIMEOUT_S):
                     await self._stream.send_all(batch)
         except _STREAM_ERRORS as error:
@@ -94,6 +105,8 @@
         length, number, kind = HEADER.unpack(await self._take(HEADER.size))
         if length > MAX_FRAME_BYTES:
             raise exceptions.ProtocolError(f"frame of {length} bytes")
+        self._traffic.frames += 1
+        self._traffic.received_bytes += HEADER.size + length
         return number, wire.decode(kind, await self._take(length))
 
     async def close(self):
@@ -129,8 +142,8 @@
 class PeerLink:
     """Client side of one connection to a peer."""
 
-    def __init__(self, stream):
-        self._frames = FrameStream(stream)
+    def __init__(self, stream, traffic):
+        self._frames = FrameStream(stream, traffic)
         self._calls = {}
         self._next_number = 1
         self._is_open = True
@@ -230,6 +243,7 @@
     """
 
     def __init__(self, nursery, hello, tls=None):
+        self.traffic = Traffic()
         self._nursery = nursery
         self._hello = hello
         self._tls = tls
@@ -291,7 +305,7 @@
         """Open a link; after a failure others need not try for a while."""
         self._avoid_until[address] = trio.current_time() + AVOID_S
         stream = await streams.connect(address, self._tls)
-        link = PeerLink(stream)
+        link = PeerLink(stream, self.traffic)
         self._nursery.start_soon(link.run)
         try:
             with trio.fail_after(HELLO_TIMEOUT_S):
@@ -315,6 +329,7 @@
     """
 
     def __init__(self, secret):
+        self.traffic = Traffic()
         self._secret = secret
         self._handlers = {}
 
@@ -324,7 +339,7 @@
 
     async def serve(self, stream):
         """Serve one connection until it ends."""
-        frames = FrameStream(stream)
+        frames = FrameStream(stream, self.traffic)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(frames.run_writer)
--- a/src/geraniumridge/_internal/network/wire.py
+++ b/src/geraniumridge/_internal/network/wire.py
@@ -12,6 +12,7 @@
 from thriftpy2 import utils
 
 from geraniumridge._internal import exceptions
+from geraniumridge._internal.utils import decode as decoding
 
 messages = thriftpy2.load(
     str(pathlib.Path(__file__).with_name("wire.thrift")),
@@ -79,7 +80,7 @@
         If a field without a default is missing.
     """
     values = {}
-    hints = typing.get_type_hints(kind)
+    hints = decoding.get_hints(kind)
     for name in kind._fields:
         value = getattr(message, name, None)
         if value is not None:
--- a/src/geraniumridge/_internal/plugins/entry.py
+++ b/src/geraniumridge/_internal/plugins/entry.py
@@ -207,6 +207,8 @@
 
     async def _learn_term(self, group, term):
         """Wait until the record knows a term that was seen."""
+        if self._terms.authority.get_group(group).term >= term:
+            return
         with trio.move_on_after(TERM_WAIT_S):
             while self._terms.authority.get_group(group).term < term:
                 await self._terms.wait_changed(TERM_WAIT_S)
--- a/src/geraniumridge/_internal/plugins/front.py
+++ b/src/geraniumridge/_internal/plugins/front.py
@@ -158,6 +158,7 @@
             raise exceptions.UnauthorizedError(
                 "Authorization: a Bearer key is needed"
             )
+        self._check_contact()
         digest = config.hash_key(key)
         team = self._configuration.find_team(digest)
         if team is None:
@@ -170,6 +171,14 @@
             raise exceptions.ForbiddenError(f"team {team} has no plan")
         return entry.Caller(team, digest, use)
 
+    def _check_contact(self):
+        """Refuse keyed requests once keys may be long out of date."""
+        age_s = self._kernel.get("directory").contact_age_s
+        if age_s > self._settings.limits.cut_off_s:
+            raise exceptions.StoppingError(
+                f"this domain has been cut off for {age_s:.0f} s"
+            )
+
     def _authorise(self, request, group, mode):
         """Return the caller if its plan may use a group this way."""
         document = self._configuration.document
--- a/src/geraniumridge/_internal/plugins/operators.py
+++ b/src/geraniumridge/_internal/plugins/operators.py
@@ -62,7 +62,9 @@
 @PAGES.register("/metrics")
 def show_metrics(owner):
     """Return counters, gauges and encoded histograms."""
-    return http.make_json_response(owner.get("metrics").export())
+    data = owner.get("metrics").export()
+    data["traffic"] = owner.get("peers").get_traffic()
+    return http.make_json_response(data)
 
 
 @PAGES.register("/status")
--- a/src/geraniumridge/_internal/plugins/peers.py
+++ b/src/geraniumridge/_internal/plugins/peers.py
@@ -20,6 +20,15 @@
         """Answer messages of a type by an async function."""
         self._server.handle(kind, handler)
 
+    def get_traffic(self):
+        """Return bytes and frames of all links, both ways."""
+        sides = (self._server.traffic, self._pool.traffic)
+        return {
+            "sent_bytes": sum(side.sent_bytes for side in sides),
+            "received_bytes": sum(side.received_bytes for side in sides),
+            "frames": sum(side.frames for side in sides),
+        }
+
     async def call(self, address, message, timeout_s):
         """Call the daemon at an address; see `PeerPool.call`."""
         return await self._pool.call(address, message, timeout_s)
--- a/src/geraniumridge/_internal/plugins/target_gate.py
+++ b/src/geraniumridge/_internal/plugins/target_gate.py
@@ -100,6 +100,9 @@
         exceptions.OverloadedError
             If none was free before the deadline; nothing was run.
         """
+        if self._free_slots > 0 and not len(self._queue):
+            self._free_slots -= 1
+            return 0.0
         began_at = trio.current_time()
         waiter = _Waiter()
         self._queue.push(team, weight, deadline, waiter)
--- a/src/geraniumridge/_internal/utils/decode.py
+++ b/src/geraniumridge/_internal/utils/decode.py
@@ -4,6 +4,7 @@
 array, so this module walks the objects and collects the faults.
 """
 
+import functools
 import types
 import typing
 
@@ -17,6 +18,12 @@
     return isinstance(kind, type) and hasattr(kind, "_field_defaults")
 
 
+@functools.lru_cache(maxsize=256)
+def get_hints(kind):
+    """Return a named tuple's annotations, evaluated once."""
+    return typing.get_type_hints(kind, include_extras=True)
+
+
 def decode(kind, data, source):
     """Decode plain data into a named tuple.
 
@@ -99,7 +106,7 @@
     if not isinstance(data, dict):
         problems.append(f"{path or 'document'}: Expected a table")
         return None
-    hints = typing.get_type_hints(kind, include_extras=True)
+    hints = get_hints(kind)
     for key in data.keys() - hints.keys():
         known = ", ".join(sorted(hints))
         problems.append(f"{_join(path, key)}: Unknown key (known: {known})")
--- /dev/null
+++ b/standins/bench.py
@@ -0,0 +1,185 @@
+"""Speed of one and of two daemons against the target itself.
+
+Run as ``python -m standins.bench``. The same client reads from a
+target directly, through the daemon that is its gateway, and through
+another daemon; closed loop for latency, a fixed rate for processor
+time.
+"""
+
+import argparse
+import functools
+import json
+import os
+import statistics
+import time
+
+import msgspec
+import trio
+
+from geraniumridge._internal.network import http
+from standins import fleet
+from standins import loadgen
+
+LATENCY_REQUESTS = 1500
+RATE_PER_S = 426
+RATE_S = 8
+MAX_IN_FLIGHT = 64
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def read_cpu_s(pid):
+    """Return the processor time that a process has used, in seconds."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def read_memory_mb(pid):
+    """Return the resident memory of a process in megabytes."""
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        for line in file:
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def make_request(path, key):
+    """Return the request that is measured."""
+    body = msgspec.json.encode(
+        {
+            "sql": "SELECT 1",
+            "mode": "read",
+            "params": [],
+            "request_id": "bench",
+            "max_staleness_ms": 60_000,
+        }
+    )
+    if not path.startswith("/v1"):
+        return path, body, ()
+    body = b'{"sql": "SELECT 1", "max_staleness_ms": 60000}'
+    return path, body, (("Authorization", f"Bearer {key}"),)
+
+
+async def time_requests(address, request):
+    """Return latencies in milliseconds, one request after another."""
+    path, body, headers = request
+    client = await http.open_client(address)
+    latencies = []
+    for _ in range(LATENCY_REQUESTS):
+        began_at = time.perf_counter()
+        response = await client.request("POST", path, body, headers)
+        latencies.append((time.perf_counter() - began_at) * 1000)
+        assert response.status == 200, response
+    await client.close()
+    return latencies[LATENCY_REQUESTS // 10 :]
+
+
+async def send_at_rate(address, request, seconds):
+    """Send at the fixed rate; returns latencies in milliseconds."""
+    path, body, headers = request
+    idle = []
+    latencies = []
+    limit = trio.Semaphore(MAX_IN_FLIGHT)
+
+    async def send():
+        began_at = time.perf_counter()
+        client = idle.pop() if idle else await http.open_client(address)
+        response = await client.request("POST", path, body, headers)
+        assert response.status == 200, response
+        idle.append(client)
+        latencies.append((time.perf_counter() - began_at) * 1000)
+        limit.release()
+
+    async with trio.open_nursery() as nursery:
+        began_at = trio.current_time()
+        for number in range(int(RATE_PER_S * seconds)):
+            await trio.sleep_until(began_at + number / RATE_PER_S)
+            await limit.acquire()
+            nursery.start_soon(send)
+    return latencies
+
+
+def measure_rate(running, address, request, names):
+    """Return processor use of some processes at the fixed rate."""
+    pids = {name: running.processes[name].pid for name in names}
+    before = {name: read_cpu_s(pid) for name, pid in pids.items()}
+    began_at = time.monotonic()
+    run = functools.partial(send_at_rate, address, request, RATE_S)
+    latencies = trio.run(run)
+    seconds = time.monotonic() - began_at
+    cores = {
+        name: round((read_cpu_s(pid) - before[name]) / seconds, 3)
+        for name, pid in pids.items()
+    }
+    return {
+        "per_s": round(len(latencies) / seconds, 1),
+        "p50_ms": round(statistics.median(latencies), 2),
+        "p99_ms": round(loadgen.get_percentile(latencies, 99), 2),
+        "cores": cores,
+        "memory_mb": {
+            name: round(read_memory_mb(pid), 1) for name, pid in pids.items()
+        },
+    }
+
+
+def run(running):
+    """Measure each path and return the figures."""
+    target = running.targets["ledger", "ledger-a"]
+    gateway = next(
+        name
+        for name in running.vms
+        if running.get_page(name, "/status")["targets"]
+    )
+    other = next(name for name in running.vms if name != gateway)
+    path = "/v1/groups/ledger/statements"
+    key = running.keys["coop"]
+    paths = {
+        "direct": (target, make_request("/statement", key), ()),
+        "one daemon": (
+            running.vms[gateway].callers,
+            make_request(path, key),
+            (gateway,),
+        ),
+        "two daemons": (
+            running.vms[other].callers,
+            make_request(path, key),
+            (other, gateway),
+        ),
+    }
+    results = {}
+    for name, (address, request, names) in paths.items():
+        latencies = trio.run(time_requests, address, request)
+        results[name] = {
+            "median_ms": round(statistics.median(latencies), 3),
+            "at_rate": measure_rate(running, address, request, names),
+        }
+    direct = results["direct"]["median_ms"]
+    for item in results.values():
+        item["added_ms"] = round(item["median_ms"] - direct, 3)
+    return results
+
+
+def main():
+    """Measure and print."""
+    parser = argparse.ArgumentParser(prog="standins.bench")
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    options = parser.parse_args()
+    teams = {"coop": (100_000.0, 100_000)}
+    with fleet.Fleet(("a",), 2, teams=teams, service_ms=0) as running:
+        results = run(running)
+    if options.json:
+        print(json.dumps(results, indent=2))
+        return
+    for name, item in results.items():
+        rate = item["at_rate"]
+        print(
+            f"{name:<12} median {item['median_ms']:.2f} ms"
+            f" (added {item['added_ms']:.2f} ms);"
+            f" at {rate['per_s']}/s p50 {rate['p50_ms']} ms,"
+            f" p99 {rate['p99_ms']} ms, cores {rate['cores']},"
+            f" MB {rate['memory_mb']}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -8,6 +8,7 @@
 import http.client
 import itertools
 import json
+import os
 import pathlib
 import random
 import signal
@@ -28,13 +29,17 @@
 POLL_S = 0.05
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
+WORKERS = 16
 PLATFORM_HOST = "127.0.9.1"
 FIRST_DOMAIN = 10
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
+# Test runs side by side take ports from ranges of their own.
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
+_OWN_PORTS = range(FIRST_PORT + _WORKER, LAST_PORT, WORKERS)
 _PORTS = itertools.cycle(
-    random.SystemRandom().sample(range(FIRST_PORT, LAST_PORT), 20_000)
+    random.SystemRandom().sample(_OWN_PORTS, len(_OWN_PORTS))
 )
 
 
@@ -70,9 +75,16 @@
     raise OSError("no unused port is left")
 
 
-def request(address, method, path, data=None, headers=(), timeout_s=30):
+def request(
+    address, method, path, data=None, headers=(), timeout_s=30, tls=None
+):
     """Send one JSON request on a connection of its own."""
-    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    if tls is None:
+        connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    else:
+        connection = http.client.HTTPSConnection(
+            address, timeout=timeout_s, context=tls
+        )
     with contextlib.closing(connection):
         body = None if data is None else json.dumps(data)
         connection.request(method, path, body, dict(headers))
--- /dev/null
+++ b/standins/slopes.py
@@ -0,0 +1,164 @@
+"""Slopes that docs/CAPACITY.md is worked out from.
+
+Run as ``python -m standins.slopes``; prints what it measured and the
+figures at the two-year size.
+"""
+
+import argparse
+import json
+import socket
+import time
+import tracemalloc
+
+from geraniumridge._internal.decisions import chain
+from geraniumridge._internal.models import config
+from standins import bench
+from standins import fleet
+
+CELL_SIZES = (2, 4, 8, 16)
+CONNECTION_COUNTS = (100, 500, 1000, 2000)
+CONFIG_SIZES = (10, 100, 1000)
+SETTLE_S = 6
+WATCH_S = 8
+
+
+def measure_cell(size):
+    """Measure one idle cell of some daemons; returns per-role figures."""
+    with fleet.Fleet(("a",), size) as running:
+        time.sleep(SETTLE_S)
+        first = take_readings(running)
+        calls = running.set_platform()
+        time.sleep(WATCH_S)
+        last = take_readings(running)
+        calls = {
+            name: (count - calls[name]) / WATCH_S
+            for name, count in running.set_platform().items()
+        }
+        leader = next(
+            name
+            for name in running.vms
+            if running.get_page(name, "/status")["is_leader"]
+        )
+    rows = {}
+    for name, before in first.items():
+        role = "leader" if name == leader else "member"
+        rows.setdefault(role, []).append(
+            {key: (last[name][key] - before[key]) / WATCH_S for key in before}
+        )
+    figures = {
+        role: {
+            key: round(sum(row[key] for row in items) / len(items), 4)
+            for key in items[0]
+        }
+        for role, items in rows.items()
+    }
+    return {"size": size, "platform_calls_per_s": calls, **figures}
+
+
+def take_readings(running):
+    """Return processor time, bytes and frames of each daemon."""
+    readings = {}
+    for name in running.vms:
+        traffic = running.get_page(name, "/metrics")["traffic"]
+        readings[name] = {
+            "cpu": bench.read_cpu_s(running.processes[name].pid),
+            "bytes": traffic["sent_bytes"] + traffic["received_bytes"],
+            "frames": traffic["frames"],
+        }
+    return readings
+
+
+def measure_connections():
+    """Measure one daemon's memory over idle connections of callers."""
+    rows = []
+    with fleet.Fleet(("a",), 1) as running:
+        vm = next(iter(running.vms))
+        host, _, port = running.vms[vm].callers.rpartition(":")
+        pid = running.processes[vm].pid
+        rows.append((0, bench.read_memory_mb(pid)))
+        opened = []
+        for count in CONNECTION_COUNTS:
+            while len(opened) < count:
+                opened.append(socket.create_connection((host, int(port))))
+            time.sleep(1)
+            rows.append((count, bench.read_memory_mb(pid)))
+        for item in opened:
+            item.close()
+    return rows
+
+
+def make_edits(size):
+    """Return edits for as many teams with keys, and groups."""
+    targets = {
+        f"t{index}": {"address": "127.0.0.1:1", "domain": "a"}
+        for index in range(3)
+    }
+    yield config.Edit("domains", "a", {})
+    plan = {"rate_per_s": 10.0, "burst": 10, "groups": {}}
+    yield config.Edit("use", "plan", plan)
+    for number in range(size):
+        yield config.Edit("groups", f"group-{number}", {"targets": targets})
+        yield config.Edit("plans", f"team-{number}", "plan")
+        digest = config.hash_key(str(number))
+        yield config.Edit("keys", digest, {"team": f"team-{number}"})
+
+
+def measure_config(size):
+    """Measure a configuration's memory and the time of one change."""
+    edits = tuple(make_edits(size))
+    held = chain.ConfigChain()
+    tracemalloc.start()
+    held.accept(config.Change(1, chain.GENESIS_HASH, "x", "y", edits))
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    edit = config.Edit("plans", "team-0", "plan")
+    change = config.Change(2, held.snapshot.hash, "x", "y", (edit,))
+    began_at = time.perf_counter()
+    held.accept(change)
+    return {
+        "size": size,
+        "memory_kb": round(memory / 1024, 1),
+        "change_ms": round((time.perf_counter() - began_at) * 1000, 2),
+        "snapshot_kb": round(
+            len(chain.encode_snapshot(held.snapshot)) / 1024, 1
+        ),
+    }
+
+
+def get_slope(points):
+    """Return the least-squares slope of pairs."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    above = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    return above / sum((x - mean_x) ** 2 for x, _ in points)
+
+
+def main():
+    """Measure everything and print it as JSON."""
+    parser = argparse.ArgumentParser(prog="standins.slopes")
+    parser.add_argument(
+        "--cells", type=int, nargs="*", default=list(CELL_SIZES)
+    )
+    options = parser.parse_args()
+    cells = [measure_cell(size) for size in options.cells]
+    connections = measure_connections()
+    slopes = {
+        "connection_kb": round(get_slope(connections) * 1024, 2),
+        "daemon_mb": round(connections[0][1], 1),
+    }
+    if len(cells) > 1:
+        for key in ("cpu", "bytes", "frames"):
+            points = [(row["size"], row["leader"][key]) for row in cells]
+            slopes[f"leader_{key}_per_member"] = round(get_slope(points), 5)
+    result = {
+        "cells": cells,
+        "connections": connections,
+        "configurations": [measure_config(size) for size in CONFIG_SIZES],
+        "slopes": slopes,
+    }
+    print(json.dumps(result, indent=2))
+
+
+if __name__ == "__main__":
+    main()
