--- a/src/geraniumridge/_internal/commands/base.py
+++ b/src/geraniumridge/_internal/commands/base.py
@@ -74,13 +74,11 @@
     return options.author or getpass.getuser()
 
 
-async def commit_edits(client, options, make_edits):
-    """Load the chain, make edits of its document and commit them.
+def commit(options, make_edits):
+    """Commit edits of the configuration in force.
 
     Parameters
     ----------
-    client : platform.PlatformClient
-        Where the chain is kept.
     options : Options
         The common options.
     make_edits : callable
@@ -91,9 +89,23 @@
     int
         The version that the edits became.
     """
-    loaded = await configstore.load_chain(client)
-    edits = make_edits(loaded.document)
-    return await configstore.commit(client, loaded, get_author(options), edits)
+
+    async def load_and_commit(client):
+        loaded = await configstore.load_chain(client)
+        edits = make_edits(loaded.document)
+        author = get_author(options)
+        return await configstore.commit(client, loaded, author, edits)
+
+    return run(load_and_commit, options)
+
+
+def commit_and_print(options, make_edits):
+    """Commit edits and tell which version they became."""
+    version = commit(options, make_edits)
+    if options.as_json:
+        print(json.dumps({"version": version}))
+    else:
+        print(f"accepted as version {version}")
 
 
 def print_rows(options, columns, rows):
@@ -117,14 +129,6 @@
     return str(item)
 
 
-def print_version(options, version):
-    """Tell which version a change became."""
-    if options.as_json:
-        print(json.dumps({"version": version}))
-    else:
-        print(f"accepted as version {version}")
-
-
 async def fetch_page(options, vm, page):
     """Return an operators' page of one VM, None without an answer."""
     headers = []
--- a/src/geraniumridge/_internal/commands/keys.py
+++ b/src/geraniumridge/_internal/commands/keys.py
@@ -32,12 +32,7 @@
         value = {"team": self.team, "issued": now.isoformat()}
         edit = config.Edit("keys", digest, value)
 
-        async def commit(client):
-            return await base.commit_edits(
-                client, options, lambda document: [edit]
-            )
-
-        version = base.run(commit, options)
+        version = base.commit(options, lambda document: [edit])
         if options.as_json:
             data = {"key": key, "id": digest[:16], "version": version}
             print(json.dumps(data))
@@ -60,11 +55,7 @@
 
     def run(self, options):
         """Remove the keys' hashes."""
-
-        async def commit(client):
-            return await base.commit_edits(client, options, self.make_edits)
-
-        base.print_version(options, base.run(commit, options))
+        base.commit_and_print(options, self.make_edits)
 
     def make_edits(self, document):
         """Return the edits that remove the matching keys."""
--- a/src/geraniumridge/_internal/commands/service.py
+++ b/src/geraniumridge/_internal/commands/service.py
@@ -36,11 +36,7 @@
             columns = ["domain", "in service", "region"]
             base.print_rows(options, columns, rows)
             return
-
-        async def commit(client):
-            return await base.commit_edits(client, options, self.make_edits)
-
-        base.print_version(options, base.run(commit, options))
+        base.commit_and_print(options, self.make_edits)
 
     def make_edits(self, document):
         """Return the edit that sets the domain's state."""
@@ -65,11 +61,7 @@
 
     def run(self, options):
         """Commit the group's wanted primary."""
-
-        async def commit(client):
-            return await base.commit_edits(client, options, self.make_edits)
-
-        base.print_version(options, base.run(commit, options))
+        base.commit_and_print(options, self.make_edits)
 
     def make_edits(self, document):
         """Return the edit that names the primary."""
@@ -92,11 +84,7 @@
 
     def run(self, options):
         """Commit the target's state."""
-
-        async def commit(client):
-            return await base.commit_edits(client, options, self.make_edits)
-
-        base.print_version(options, base.run(commit, options))
+        base.commit_and_print(options, self.make_edits)
 
     def make_edits(self, document):
         """Return the edit that sets the target's state."""
--- a/src/geraniumridge/_internal/commands/tables.py
+++ b/src/geraniumridge/_internal/commands/tables.py
@@ -46,7 +46,7 @@
         if section != "plans":
             value = _read_json(f"{section}.{self.name}", self.value)
         edit = config.Edit(section, self.name, value)
-        _commit(options, lambda document: [edit])
+        base.commit_and_print(options, lambda document: [edit])
 
 
 @cappa.command(name="remove", help="Remove one entry.")
@@ -66,7 +66,7 @@
                 )
             return [config.Edit(section, self.name)]
 
-        _commit(options, make_edits)
+        base.commit_and_print(options, make_edits)
 
 
 @cappa.command(name="apply", help="Replace the section by a TOML file.")
@@ -79,7 +79,9 @@
     def run(self, section, options):
         """Commit what differs, in one change."""
         wanted = read_section(self.file, section)
-        _commit(options, lambda document: diff(document, section, wanted))
+        base.commit_and_print(
+            options, lambda document: diff(document, section, wanted)
+        )
 
 
 Action = ListEntries | SetEntry | RemoveEntry | ApplyFile
@@ -164,10 +166,3 @@
         raise base.fail(
             f"{source}: not valid JSON: {error}", base.EXIT_BAD_INPUT
         )
-
-
-def _commit(options, make_edits):
-    async def commit(client):
-        return await base.commit_edits(client, options, make_edits)
-
-    base.print_version(options, base.run(commit, options))
--- a/src/geraniumridge/_internal/decisions/cell.py
+++ b/src/geraniumridge/_internal/decisions/cell.py
@@ -72,7 +72,6 @@
         self._active = False
         self._lease_until = -math.inf
         self._share = 0.0
-        self._speaks = False
         self._echo = 0.0
         self._dropped_at = -math.inf
         self._continuity = 0
--- a/src/geraniumridge/_internal/plugins/membership.py
+++ b/src/geraniumridge/_internal/plugins/membership.py
@@ -182,7 +182,7 @@
         sent_at = trio.current_time()
         try:
             answer = await self._call(address, message)
-            unpacked = wire.unpack(membership.HeartbeatAnswer, answer)
+            unpacked = self._unpack_answer(answer)
         except (exceptions.NetworkError, exceptions.RequestError) as error:
             logger.debug("heartbeat failed", extra={"reason": str(error)})
             return
@@ -199,6 +199,16 @@
                 self._cell.leader_address, self._cell.make_heartbeat()
             )
 
+    def _unpack_answer(self, answer):
+        """Return an answer with the view that it left out, if any."""
+        unpacked = wire.unpack(membership.HeartbeatAnswer, answer)
+        view = self._cell.view
+        if unpacked.granted and unpacked.view is None:
+            if view is None or view.number != unpacked.number:
+                raise exceptions.ProtocolError("grant of an unknown view")
+            unpacked = unpacked._replace(view=view)
+        return unpacked
+
     async def _send_claim(self, address, claim):
         try:
             answer = await self._call(address, wire.pack(claim))
@@ -220,6 +230,9 @@
         answer = self._cell.take_heartbeat(trio.current_time(), heartbeat)
         packed = wire.pack(answer)
         if answer.granted:
+            if (heartbeat.number, heartbeat.leader) == answer.view.epoch:
+                # The member has this view; most answers need not carry it.
+                packed.view = None
             for rider in self._riders:
                 rider.take_heartbeat(message)
                 rider.load_answer(message, packed)
