--- a/src/geraniumridge/_internal/kernel/kernel.py
+++ b/src/geraniumridge/_internal/kernel/kernel.py
@@ -74,10 +74,6 @@
         """Begin a graceful stop."""
         self._stopping.set()
 
-    async def wait_stopping(self):
-        """Wait until a graceful stop begins."""
-        await self._stopping.wait()
-
     async def run(self):
         """Run the plug-ins until a graceful stop has ended."""
         streams.set_source_host(self._settings.listen.source)
--- a/tests/functional/test_rates.py
+++ b/tests/functional/test_rates.py
@@ -1,10 +1,10 @@
 """Rates and bursts summed over the whole fleet."""
 
 import bisect
-import threading
 import time
 import typing
 
+from lib import load
 from standins import fleet
 
 DOMAINS = ("a", "b", "c")
@@ -19,29 +19,16 @@
     ended: float
 
 
-class Flood:
+class Flood(load.Workers):
     """Threads that read through given VMs as fast as they may."""
 
     def __init__(self, deployment, vms, team, pause_s=0.0):
+        super().__init__(vms)
         self.passed = []
         self.refused = []
         self._deployment = deployment
         self._team = team
         self._pause_s = pause_s
-        self._stopped = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._run, args=(vm,)) for vm in vms
-        ]
-
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *details):
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
 
     def _run(self, vm):
         while not self._stopped.is_set():
--- a/tests/lib/load.py
+++ b/tests/lib/load.py
@@ -27,7 +27,37 @@
     request_id: str
 
 
-class Writers:
+class Workers:
+    """Threads, one for each given VM, until the block ends.
+
+    Parameters
+    ----------
+    vms : sequence of str
+        Names of VMs; they may repeat.
+    """
+
+    def __init__(self, vms):
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(vm,), daemon=True)
+            for vm in vms
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *details):
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, vm):
+        raise NotImplementedError
+
+
+class Writers(Workers):
     """Threads that write through given VMs until stopped.
 
     Parameters
@@ -47,26 +77,12 @@
     def __init__(
         self, deployment, vms, group="ledger", pause_s=0.05, team=None
     ):
+        super().__init__(vms)
         self.deployment = deployment
         self.group = group
         self.pause_s = pause_s
         self.team = team or next(iter(deployment.teams))
         self.history = []
-        self._stopped = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._write, args=(vm,), daemon=True)
-            for vm in vms
-        ]
-
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *details):
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
 
     def run(self, seconds):
         """Let the writers go on for a while."""
@@ -85,7 +101,7 @@
         )
         return max(b - a for a, b in itertools.pairwise(ended))
 
-    def _write(self, vm):
+    def _run(self, vm):
         while not self._stopped.is_set():
             number = next(_NUMBERS)
             started = time.monotonic()
