Refuse callers as 'stopping' until a started VM has its configuration

Cause: a VM that had just started listened before it held a configuration, so a valid key was unknown and got 'unauthorized', although health was unready. Change: the front refuses, as not run, until the configuration is as new as the leader's once. Not run: the whole test run after this change.

--- a/src/geraniumridge/_internal/plugins/front.py
+++ b/src/geraniumridge/_internal/plugins/front.py
@@ -43,6 +43,7 @@
         self._connections = set()
         self._listening = None
         self._is_draining = False
+        self._is_ready = False
 
     @property
     def connection_count(self):
@@ -89,6 +90,7 @@
     async def _handle(self, request):
         request_id = secrets.token_hex(8)
         try:
+            self._check_ready()
             handler, names = _find_route(request)
             response = await handler(self, request, request_id, *names)
         except exceptions.RequestError as error:
@@ -176,6 +178,14 @@
             raise exceptions.ForbiddenError(f"team {team} has no plan")
         return entry.Caller(team, digest, use)
 
+    def _check_ready(self):
+        """Refuse until the configuration is as new as the leader's."""
+        self._is_ready = self._is_ready or self._configuration.is_current
+        if not self._is_ready:
+            raise exceptions.StoppingError(
+                "this VM has started and has no configuration yet"
+            )
+
     def _check_contact(self):
         """Refuse keyed requests once keys may be long out of date."""
         age_s = self._kernel.get("directory").contact_age_s
