Carry statements on the users' platform: the thin path

Cause: nothing spoke the platform's protocols. The product gains ports (store, targets), a statement path behind them (sessions, transactions, pools, marks, one revisioned view) and platform/ translates.

--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/load.py
@@ -0,0 +1,99 @@
+"""What a VM knows of a target from its own traffic."""
+
+from geraniumridge._internal.models import records
+
+FIRST_LATENCY_S = 0.02
+"""Assumed latency of a target without answers yet."""
+
+LATENCY_WEIGHT = 0.2
+"""Weight of the newest answer in the moving average."""
+
+RETRY_S = 0.3
+"""Pause before a failing target is tried again."""
+
+MAX_RETRY_S = 2.0
+"""Longest pause between tries of a target that keeps failing."""
+
+STALLED_S = 0.25
+"""Age of an unanswered call that counts against its target."""
+
+
+class TargetLoad:
+    """Outstanding calls, latency and failures of one target."""
+
+    def __init__(self):
+        self._started = {}
+        self._next_call = 0
+        self._latency_s = FIRST_LATENCY_S
+        self._failures = 0
+        self._failing_since = None
+        self._retry_at = 0.0
+        self._position = records.NO_MARK
+
+    @property
+    def outstanding(self):
+        """Calls without an answer."""
+        return len(self._started)
+
+    @property
+    def latency_s(self):
+        """Moving average of the latency, in seconds."""
+        return self._latency_s
+
+    @property
+    def failures(self):
+        """Failures since the last answer."""
+        return self._failures
+
+    @property
+    def failing_since(self):
+        """Clock time of the first of them, or None."""
+        return self._failing_since
+
+    @property
+    def position(self):
+        """Highest log position that the target is known to have."""
+        return self._position
+
+    def begin(self, now):
+        """Count a call and return its number."""
+        self._next_call += 1
+        self._started[self._next_call] = now
+        return self._next_call
+
+    def end(self, call, now, is_answered):
+        """Count the end of a call."""
+        started = self._started.pop(call)
+        if is_answered:
+            self._latency_s += LATENCY_WEIGHT * (
+                now - started - self._latency_s
+            )
+            self.note_answer()
+
+    def note_answer(self):
+        """Note that the target answered, with whatever outcome."""
+        self._failures = 0
+        self._failing_since = None
+
+    def note_failure(self, now):
+        """Note a connection that was refused, broken or silent."""
+        self._failures += 1
+        if self._failing_since is None:
+            self._failing_since = now
+        pause = min(MAX_RETRY_S, RETRY_S * 2 ** (self._failures - 1))
+        self._retry_at = now + pause
+
+    def note_position(self, position):
+        """Note a log position that the target showed."""
+        if position is not None:
+            self._position = max(self._position, position)
+
+    def is_resting(self, now):
+        """Tell whether the target is left alone after a failure."""
+        return self._failures > 0 and now < self._retry_at
+
+    def is_stalled(self, now):
+        """Tell whether a call has waited for long."""
+        return any(
+            now - started > STALLED_S for started in self._started.values()
+        )
--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/placement.py
@@ -0,0 +1,98 @@
+"""Choice of the target for a read that replicas may serve."""
+
+import typing
+
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import records
+
+OTHER_DOMAIN_S = 0.010
+"""Latency that a target of another failure domain must make up for;
+weighs the cost of bytes between domains."""
+
+STALLED_S = 1.0
+"""Latency added for a target with a call that has waited for long."""
+
+BEHIND_S = 0.030
+"""Latency added for a target not known to have reached the position;
+about the cost of being refused there."""
+
+
+class Placement(typing.NamedTuple):
+    """A target, and the position that its log must have reached."""
+
+    target: desired.Target
+    minimum: records.Mark | None
+
+
+def find_minimum(marks, session_mark, since):
+    """Return the position that a read must see.
+
+    Parameters
+    ----------
+    marks : decisions.marks.Marks
+        Marks of the group.
+    session_mark : records.Mark or None
+        Last commit of the session, where the route honours it.
+    since : float
+        Commits acknowledged before this clock time must be seen.
+
+    Returns
+    -------
+    records.Mark or None
+        None if nothing proves a position; the primary must serve it.
+    """
+    mark = marks.find_oldest(since)
+    if mark is None:
+        return None
+    if session_mark is None or session_mark.term < mark.term:
+        # A later term's log holds every commit acknowledged before it.
+        return mark
+    return max(mark, session_mark)
+
+
+def is_eligible(target, route, view, regions):
+    """Tell whether desired state lets a route use a target.
+
+    Parameters
+    ----------
+    target : desired.Target
+        The candidate.
+    route : desired.Route
+        The route.
+    view : decisions.view.View
+        The picture of the store.
+    regions : callable
+        From failure domain to region.
+    """
+    if target.group != route.group:
+        return False
+    if target.domain in view.evacuated:
+        return False
+    return not route.regions or regions(target.domain) in route.regions
+
+
+def estimate_wait(load, target, minimum, own_domain, now):
+    """Return what a read may take at a target, in seconds.
+
+    Parameters
+    ----------
+    load : decisions.load.TargetLoad
+        What is known of the target.
+    target : desired.Target
+        The candidate.
+    minimum : records.Mark
+        Position to be reached.
+    own_domain : str
+        Failure domain of the VM.
+    now : float
+        Clock time, in seconds.
+    """
+    busy = load.outstanding / max(1, target.slots)
+    wait = load.latency_s * (1 + busy)
+    if target.domain != own_domain:
+        wait += OTHER_DOMAIN_S
+    if load.position < minimum:
+        wait += BEHIND_S
+    if load.is_stalled(now):
+        wait += STALLED_S
+    return wait
--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -0,0 +1,101 @@
+"""Replacement of a primary: whom to wait for, whom to promote."""
+
+import typing
+
+from geraniumridge._internal.decisions import primacy
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import records
+
+TAKEOVER_S = 6.0
+"""A replacement without progress for so long is taken over; longer
+than `HOLDER_S`, so that two holders do not act at once."""
+
+HOLDER_S = 2.0
+"""A holder acts only while its knowledge is at most this old."""
+
+WAIT_S = primacy.EVIDENCE_S + primacy.CLOCK_MARGIN_S
+"""After this long no VM can rely on what it knew before."""
+
+
+class Replica(typing.NamedTuple):
+    """A target of the group and its answer, None if there was none."""
+
+    target: desired.Target
+    status: desired.TargetStatus | None
+    is_eligible: bool
+
+
+def list_awaited(view, group, revision, marked_at, now):
+    """Return the VMs that may still rely on the replaced primary.
+
+    Parameters
+    ----------
+    view : decisions.view.View
+        A picture at least as new as the pending lead.
+    group : str
+        The group.
+    revision : int
+        Revision of its pending lead.
+    marked_at : float
+        Clock time by which the store had acknowledged it, in seconds.
+    now : float
+        Clock time, in seconds.
+
+    Returns
+    -------
+    set of str or None
+        Empty once nobody can; None if it is not known who they are.
+    """
+    if now - marked_at > WAIT_S:
+        return set()
+    if view.whole_since is None or marked_at - view.whole_since < WAIT_S:
+        return None
+    departed = view.list_departures(now, WAIT_S + now - marked_at)
+    releases = view.list_releases(group)
+    return {
+        vm
+        for vm in [*view.members, *departed]
+        if vm not in releases or releases[vm].revision != revision
+    }
+
+
+def get_acknowledged(view, group, revision):
+    """Return the highest position that a releasing VM saw acknowledged."""
+    return max(
+        (
+            release.acknowledged
+            for release in view.list_releases(group).values()
+            if release.revision == revision
+        ),
+        default=records.NO_MARK,
+    )
+
+
+def choose_successor(replicas, bound):
+    """Return the replica that provably holds every acknowledged commit.
+
+    Parameters
+    ----------
+    replicas : sequence of Replica
+        All targets of the group but the replaced primary, with what
+        they had received after they were held.
+    bound : records.Mark or None
+        A position known to cover every acknowledged commit.
+
+    Returns
+    -------
+    Replica or None
+        None if no eligible one is proved.
+    """
+    known = [item for item in replicas if item.status is not None]
+    eligible = [item for item in known if item.is_eligible]
+    if not eligible:
+        return None
+    highest = max(item.status.received for item in known)
+    best = max(eligible, key=lambda item: item.status.received)
+    if bound is not None and best.status.received >= bound:
+        return best
+    is_complete = len(known) == len(replicas)
+    if is_complete and best.status.received >= highest:
+        return best
+    return None
--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -0,0 +1,211 @@
+"""One revisioned picture of the store, which never goes backwards."""
+
+import typing
+
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import fleet
+
+RETURN_GRACE_S = 2.0
+"""How long after an outage lapsed targets may take to register again;
+from the platform's description of service discovery."""
+
+
+class Evacuation(typing.NamedTuple):
+    """Operators' order to send nothing to a failure domain."""
+
+    domain: str
+
+
+class Departure(typing.NamedTuple):
+    """A member whose entry vanished, and when that was seen."""
+
+    member: fleet.Member
+    seen_at: float
+
+
+class Entry(typing.NamedTuple):
+    """A key's revision and what its value says, None if unreadable."""
+
+    revision: int
+    record: typing.Any
+
+
+class View:
+    """Desired state, targets, evacuations, leads and members.
+
+    Parameters
+    ----------
+    decode : callable
+        From key and value to a typed record, or None for a value
+        that cannot be used.
+    """
+
+    def __init__(self, decode):
+        self._decode = decode
+        self._revision = 0
+        self._entries = {}
+        self._state = None
+        self._targets = {}
+        self._evacuated = set()
+        self._members = {}
+        self._releases = {}
+        self._departures = {}
+        self._lapsing = {}
+        self._whole_since = None
+        self._returned_at = None
+
+    @property
+    def revision(self):
+        """Revision of the store that the picture has reached."""
+        return self._revision
+
+    @property
+    def state(self):
+        """The newest `desired.DesiredState`, or None."""
+        return self._state
+
+    @property
+    def targets(self):
+        """Registered `desired.Target` by id."""
+        return self._targets
+
+    @property
+    def evacuated(self):
+        """Names of the failure domains taken out of service."""
+        return self._evacuated
+
+    @property
+    def members(self):
+        """Live `fleet.Member` by VM."""
+        return self._members
+
+    @property
+    def whole_since(self):
+        """Since when no change can have been missed; None if never."""
+        return self._whole_since
+
+    def get_lead(self, group):
+        """Return a group's `fleet.Lead`, or None."""
+        entry = self._entries.get(fleet.make_lead_key(group))
+        return entry.record if entry else None
+
+    def get_revision(self, key):
+        """Return a key's revision, 0 if it does not exist."""
+        entry = self._entries.get(key)
+        return entry.revision if entry else 0
+
+    def list_group(self, group):
+        """Return the registered targets of a group."""
+        return [item for item in self._targets.values() if item.group == group]
+
+    def list_releases(self, group):
+        """Return the releases of a group's leads, by VM."""
+        return self._releases.get(group, {})
+
+    def list_departures(self, now, within_s):
+        """Return members that vanished a short time ago, by VM."""
+        return {
+            vm: item
+            for vm, item in self._departures.items()
+            if now - item.seen_at <= within_s
+        }
+
+    def replace(self, now, listing):
+        """Take in a listing of the whole store.
+
+        Parameters
+        ----------
+        now : float
+            Clock time, in seconds.
+        listing : ports.store.Listing
+            All keys; ignored if older than the picture.
+
+        Returns
+        -------
+        bool
+            Whether it was taken in.
+        """
+        if listing.revision < self._revision:
+            return False
+        self._whole_since = now
+        present = {item.key for item in listing.items}
+        for key in list(self._entries.keys() - present):
+            self._remove(now, key)
+        for item in listing.items:
+            self._take(now, item)
+        self._revision = listing.revision
+        return True
+
+    def apply(self, now, changes):
+        """Take in the changes that follow the picture's revision."""
+        for item in changes.items:
+            self._take(now, item)
+        self._revision = max(self._revision, changes.revision)
+
+    def note_return(self, now):
+        """Note that the store answers again after an outage."""
+        self._returned_at = now
+
+    def expire(self, now):
+        """Drop targets that did not register again in time."""
+        for target, limit in list(self._lapsing.items()):
+            if now >= limit:
+                del self._lapsing[target]
+                self._targets.pop(target, None)
+
+    def _take(self, now, item):
+        known = self._entries.get(item.key)
+        if known is not None and item.revision <= known.revision:
+            return
+        if item.value is None:
+            self._remove(now, item.key)
+            return
+        record = self._decode(item.key, item.value)
+        if known is not None and type(record) is not type(known.record):
+            self._forget(now, item.key, known.record)
+        self._entries[item.key] = Entry(item.revision, record)
+        self._store(item.key, record)
+
+    def _remove(self, now, key):
+        known = self._entries.pop(key, None)
+        if known is not None:
+            self._forget(now, key, known.record)
+
+    def _store(self, key, record):
+        if isinstance(record, desired.DesiredState):
+            self._state = record
+        elif isinstance(record, desired.Target):
+            self._targets[record.id] = record
+            self._lapsing.pop(record.id, None)
+        elif isinstance(record, Evacuation):
+            self._evacuated.add(record.domain)
+        elif isinstance(record, fleet.Member):
+            self._members[record.vm] = record
+            self._departures.pop(record.vm, None)
+        elif isinstance(record, fleet.Release):
+            group = fleet.parse_release_group(key)
+            self._releases.setdefault(group, {})[record.vm] = record
+
+    def _forget(self, now, key, record):
+        if isinstance(record, desired.Target):
+            self._forget_target(now, record)
+        elif isinstance(record, Evacuation):
+            self._evacuated.discard(record.domain)
+        elif isinstance(record, fleet.Member):
+            self._members.pop(record.vm, None)
+            self._departures[record.vm] = Departure(record, now)
+        elif isinstance(record, fleet.Release):
+            group = fleet.parse_release_group(key)
+            self._releases.get(group, {}).pop(record.vm, None)
+
+    def _forget_target(self, now, target):
+        if self._is_returning(now):
+            limit = self._returned_at + RETURN_GRACE_S
+            self._lapsing[target.id] = limit
+            return
+        self._targets.pop(target.id, None)
+
+    def _is_returning(self, now):
+        if self._returned_at is None:
+            return False
+        return now - self._returned_at < RETURN_GRACE_S
--- a/src/geraniumridge/_internal/exceptions.py
+++ b/src/geraniumridge/_internal/exceptions.py
@@ -67,6 +67,30 @@
         super().__init__(message)
 
 
+class HistoryLostError(PlatformError):
+    """The store no longer has the changes asked for; list again."""
+
+
+class LeaseLostError(PlatformError):
+    """The lease has ended; open a new one."""
+
+
+class TargetRefusedError(NetworkError):
+    """A target or the platform answered, and refused.
+
+    Parameters
+    ----------
+    message : str
+        What was attempted.
+    outcome : models.statements.Outcome or None
+        What it said, if it is one of the statement outcomes.
+    """
+
+    def __init__(self, message, outcome=None):
+        self.outcome = outcome
+        super().__init__(message)
+
+
 class ConfigurationError(GeraniumridgeError):
     """A configuration change that cannot be accepted."""
 
--- /dev/null
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -0,0 +1,71 @@
+"""Records that the daemons keep in the platform's store."""
+
+import typing
+
+from geraniumridge._internal.models import records
+
+LEADS_PREFIX = "geraniumridge/leads/"
+MEMBERS_PREFIX = "geraniumridge/members/"
+RELEASES_PREFIX = "geraniumridge/releases/"
+
+
+class Lead(typing.NamedTuple):
+    """Which target leads a group, or is being replaced.
+
+    While `is_pending`, no VM may use `target`; `holder` is the VM
+    that replaces it. `term` is the newest term known, 0 if unknown.
+    """
+
+    target: str
+    term: int
+    holder: str
+    is_pending: bool
+
+
+class Member(typing.NamedTuple):
+    """One VM, under its lease. `boot` tells two runs apart."""
+
+    vm: str
+    domain: str
+    address: str
+    boot: str
+
+
+class Release(typing.NamedTuple):
+    """A VM's word that it gave up a pending lead.
+
+    `revision` is that of the pending lead; `acknowledged` is the
+    highest log position that the VM saw acknowledged in the group.
+    """
+
+    vm: str
+    revision: int
+    acknowledged: records.Mark = records.NO_MARK
+
+
+def make_lead_key(group):
+    """Return the store's key of a group's lead."""
+    return f"{LEADS_PREFIX}{group}"
+
+
+def make_member_key(vm):
+    """Return the store's key of a VM."""
+    return f"{MEMBERS_PREFIX}{vm}"
+
+
+def make_release_key(group, vm):
+    """Return the store's key of a VM's release of a group."""
+    return f"{RELEASES_PREFIX}{group}/{vm}"
+
+
+def parse_release_group(key):
+    """Return the group that a release key belongs to."""
+    return key.removeprefix(RELEASES_PREFIX).rpartition("/")[0]
+
+
+RECORD_TYPES = {
+    LEADS_PREFIX: Lead,
+    MEMBERS_PREFIX: Member,
+    RELEASES_PREFIX: Release,
+}
+"""Type of the records under each prefix."""
--- /dev/null
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -0,0 +1,104 @@
+"""Settings of the proxy on one VM, read from a TOML file."""
+
+import pathlib
+import tomllib
+import typing
+
+import msgspec
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import settings
+from geraniumridge._internal.utils import decode
+
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
+
+class VmSettings(typing.NamedTuple):
+    """Identity of the VM."""
+
+    name: settings.Name
+    domain: settings.Name
+    ip: settings.Address
+
+
+class ListenSettings(typing.NamedTuple):
+    """Addresses that the daemon listens on.
+
+    `ready` answers the probe for readiness. Peers, metrics and the
+    operators' pages use the ports from `first_peer_port` on.
+    """
+
+    callers: settings.Address
+    ready: settings.Address
+    first_peer_port: Port
+    last_peer_port: Port
+
+
+class PlatformSettings(typing.NamedTuple):
+    """Addresses of the store and of the duties of one VM at a time."""
+
+    store: settings.Address
+    duties: settings.Address
+
+
+class BoundSettings(typing.NamedTuple):
+    """Bounds that the users set.
+
+    `stop_grace_s` is the time to stop in, in seconds, `withdrawal_ms`
+    the time after which a withdrawn key must not work, in
+    milliseconds.
+    """
+
+    stop_grace_s: settings.Seconds = 6.0
+    withdrawal_ms: settings.Seconds = 5_000.0
+
+
+class LogSettings(typing.NamedTuple):
+    """What is logged."""
+
+    level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class ProxySettings(typing.NamedTuple):
+    """All settings; `regions` maps failure domains to regions."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    bounds: BoundSettings = BoundSettings()
+    regions: dict[str, str] = {}
+    log: LogSettings = LogSettings()
+
+
+def load_proxy_settings(path):
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : str
+        Path of the TOML file.
+
+    Returns
+    -------
+    ProxySettings
+        The checked settings.
+
+    Raises
+    ------
+    exceptions.SettingsError
+        Naming the file, each key and the reason.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.SettingsError(path, [f"cannot be read: {error}"])
+    try:
+        data = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise exceptions.SettingsError(path, [f"not valid TOML: {error}"])
+    found = decode.decode(ProxySettings, data, path)
+    if found.listen.last_peer_port < found.listen.first_peer_port:
+        raise exceptions.SettingsError(
+            path, ["listen.last_peer_port: Must not be below first_peer_port"]
+        )
+    return found
--- /dev/null
+++ b/src/geraniumridge/_internal/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces between the product and what it runs on."""
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The statement path of the daemon: sessions, targets, the store."""
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -0,0 +1,101 @@
+"""Keeps the own VM's entry in the store, under a lease."""
+
+import logging
+
+import msgspec
+import trio
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import fleet
+from geraniumridge._internal.ports import store as store_port
+from geraniumridge._internal.utils import decode
+
+logger = logging.getLogger(__name__)
+
+LEASE_S = 4.0
+"""Life of the lease; a VM that died counts for so long."""
+
+RENEW_S = 1.2
+"""Pause between renewals; two may fail before the lease ends."""
+
+RETRY_S = 0.2
+"""Pause after a call that failed."""
+
+
+class Membership:
+    """Registers the VM and renews its lease.
+
+    Parameters
+    ----------
+    node : proxy.node.Node
+        State of the VM.
+    store : ports.store.Store
+        The platform's store.
+    """
+
+    def __init__(self, node, store):
+        self._node = node
+        self._store = store
+        self._lease = 0
+
+    @property
+    def lease(self):
+        """Number of the lease, 0 without one."""
+        return self._lease
+
+    async def run(self):
+        """Stay registered until cancelled."""
+        while True:
+            try:
+                await self._keep()
+                await trio.sleep(RENEW_S)
+            except exceptions.LeaseLostError:
+                self._lease = 0
+                logger.warning("lease lost", extra={"event": "lease_lost"})
+            except exceptions.PlatformError as error:
+                logger.info(
+                    "registration failed",
+                    extra={"event": "member_retry", "why": str(error)},
+                )
+                await trio.sleep(RETRY_S)
+
+    async def leave(self):
+        """End the lease, and with it the entry."""
+        if self._lease:
+            lease, self._lease = self._lease, 0
+            try:
+                await self._store.end_lease(lease)
+            except exceptions.PlatformError as error:
+                logger.info(
+                    "lease left to expire",
+                    extra={"event": "lease_left", "why": str(error)},
+                )
+
+    async def _keep(self):
+        if self._lease:
+            await self._store.renew_lease(self._lease)
+        else:
+            self._lease = await self._store.open_lease(LEASE_S)
+        if not self._is_registered():
+            await self._register()
+
+    def _is_registered(self):
+        return self._node.primacy.is_member()
+
+    async def _register(self):
+        settings = self._node.settings
+        address = f"{settings.vm.ip}:{settings.listen.first_peer_port}"
+        member = fleet.Member(
+            settings.vm.name, settings.vm.domain, address, self._node.boot
+        )
+        write = store_port.Write(
+            fleet.make_member_key(settings.vm.name),
+            encode_record(member),
+            self._lease,
+        )
+        await self._store.commit({}, [write])
+
+
+def encode_record(record):
+    """Return the stored form of a record."""
+    return msgspec.json.encode(decode.encode(record))
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -0,0 +1,59 @@
+"""What the parts of the statement path share on one VM."""
+
+from geraniumridge._internal.decisions import freshness
+from geraniumridge._internal.decisions import marks
+from geraniumridge._internal.decisions import primacy
+from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import view
+from geraniumridge._internal.proxy import guard
+from geraniumridge._internal.proxy import pool
+
+KEY_MARGIN_S = 1.0
+"""How much sooner than they must keys stop counting without news."""
+
+
+class Node:
+    """State and decisions of one VM.
+
+    Parameters
+    ----------
+    settings : models.proxy_settings.ProxySettings
+        Identity and bounds.
+    boot : str
+        Identity of this run of the daemon.
+    decode : callable
+        From a store's key and value to a typed record.
+    dialect : ports.targets.Dialect
+        How targets are spoken to.
+    """
+
+    def __init__(self, settings, boot, decode, dialect):
+        self.settings = settings
+        self.key_age_s = settings.bounds.withdrawal_ms / 1000 - KEY_MARGIN_S
+        self.boot = boot
+        self.dialect = dialect
+        self.freshness = freshness.Freshness()
+        self.view = view.View(decode)
+        self.primacy = primacy.Primacy(
+            settings.vm.name, boot, self.view, self.freshness
+        )
+        self.pools = pool.Pools(dialect)
+        self.rates = rates.Rates()
+        self._marks = {}
+        self._guards = {}
+
+    def get_marks(self, group):
+        """Return the marks of a group."""
+        return self._marks.setdefault(group, marks.Marks())
+
+    def get_guard(self, group):
+        """Return the guard of a group's primary."""
+        found = self._guards.get(group)
+        if found is None:
+            found = guard.PrimaryGuard()
+            self._guards[group] = found
+        return found
+
+    def get_region(self, domain):
+        """Return a failure domain's region."""
+        return self.settings.regions.get(domain, "")
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -0,0 +1,92 @@
+"""Where a statement may run, and when to stop trying."""
+
+from geraniumridge._internal.decisions import placement
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.proxy import attempt
+from geraniumridge._internal.utils import clock
+
+ARRIVAL_S = 0.1
+"""Taken off the bound on staleness for the way to the target."""
+
+
+class Router:
+    """Chooses targets.
+
+    Parameters
+    ----------
+    node : proxy.node.Node
+        State of the VM.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    def plan(self, work, is_read, excluded):
+        """Return the `attempt.Plan` of the best target, or None.
+
+        Parameters
+        ----------
+        work : attempt.Work
+            The statement.
+        is_read : bool
+            Whether a replica may serve it.
+        excluded : collection of str
+            Targets that were tried in vain.
+        """
+        route = work.route
+        if is_read and route.consistency is not desired.Consistency.PRIMARY:
+            found = self._plan_read(work, excluded)
+            if found is not None:
+                return found
+        return self._plan_primary(route, excluded)
+
+    def _plan_primary(self, route, excluded):
+        now = clock.now()
+        target = self._node.primacy.find_usable(route.group, now)
+        if target is None or target.id in excluded:
+            return None
+        if not self._is_allowed(route, target):
+            return None
+        return attempt.Plan(target, None, True)
+
+    def _plan_read(self, work, excluded):
+        minimum = self._find_minimum(work)
+        if minimum is None:
+            return None
+        now = clock.now()
+        primary = self._node.primacy.find_usable(work.route.group, now)
+        candidates = [
+            target
+            for target in self._node.view.list_group(work.route.group)
+            if target.id not in excluded
+            and not target.is_draining
+            and self._is_allowed(work.route, target)
+            and not self._node.pools.get(target.id).load.is_resting(now)
+        ]
+        if not candidates:
+            return None
+        best = min(
+            candidates,
+            key=lambda target: self._estimate(target, minimum, now),
+        )
+        is_primary = primary is not None and best.id == primary.id
+        return attempt.Plan(best, minimum, is_primary)
+
+    def _find_minimum(self, work):
+        route = work.route
+        session_mark = None
+        if route.consistency is desired.Consistency.SESSION:
+            session_mark = work.session.get_mark(route.group)
+        since = clock.now() - route.max_age_s + ARRIVAL_S
+        marks = self._node.get_marks(route.group)
+        return placement.find_minimum(marks, session_mark, since)
+
+    def _estimate(self, target, minimum, now):
+        load = self._node.pools.get(target.id).load
+        domain = self._node.settings.vm.domain
+        return placement.estimate_wait(load, target, minimum, domain, now)
+
+    def _is_allowed(self, route, target):
+        return placement.is_eligible(
+            target, route, self._node.view, self._node.get_region
+        )
