Replace primaries through the store: pending lead, releases, hold, promote

Cause: nobody promoted; a released primary stopped its group. Change: pending lead by compare-and-swap (its revision is the fence), each VM gives the primary up and says so, silent VMs are waited out by the bound on evidence, replicas are held, the one that has all is promoted.

--- a/src/geraniumridge/_internal/decisions/placement.py
+++ b/src/geraniumridge/_internal/decisions/placement.py
@@ -24,15 +24,27 @@
     minimum: records.Mark | None
 
 
-def find_minimum(marks, session_mark, since):
+class SessionMark(typing.NamedTuple):
+    """Position after a session's last commit.
+
+    `lead_term` is the term of the lead under which it was made.
+    """
+
+    lead_term: int
+    mark: records.Mark
+
+
+def find_minimum(marks, session_mark, lead_term, since):
     """Return the position that a read must see.
 
     Parameters
     ----------
     marks : decisions.marks.Marks
-        Marks of the group.
-    session_mark : records.Mark or None
+        Marks of the group under its present lead.
+    session_mark : SessionMark or None
         Last commit of the session, where the route honours it.
+    lead_term : int
+        Term of the present lead.
     since : float
         Commits acknowledged before this clock time must be seen.
 
@@ -44,10 +56,10 @@
     mark = marks.find_oldest(since)
     if mark is None:
         return None
-    if session_mark is None or session_mark.term < mark.term:
-        # A later term's log holds every commit acknowledged before it.
+    if session_mark is None or session_mark.lead_term < lead_term:
+        # A later lead's log holds every commit acknowledged before it.
         return mark
-    return max(mark, session_mark)
+    return max(mark, session_mark.mark)
 
 
 def is_eligible(target, route, view, regions):
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -4,7 +4,6 @@
 
 from geraniumridge._internal.decisions import primacy
 from geraniumridge._internal.models import desired
-from geraniumridge._internal.models import records
 
 TAKEOVER_S = 6.0
 """A replacement without progress for so long is taken over; longer
@@ -59,18 +58,6 @@
     }
 
 
-def get_acknowledged(view, group, revision):
-    """Return the highest position that a releasing VM saw acknowledged."""
-    return max(
-        (
-            release.acknowledged
-            for release in view.list_releases(group).values()
-            if release.revision == revision
-        ),
-        default=records.NO_MARK,
-    )
-
-
 def choose_successor(replicas, bound):
     """Return the replica that provably holds every acknowledged commit.
 
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -23,6 +23,13 @@
     seen_at: float
 
 
+class GoneTarget(typing.NamedTuple):
+    """A target whose entry vanished, and when that was seen."""
+
+    target: desired.Target
+    seen_at: float
+
+
 class Entry(typing.NamedTuple):
     """A key's revision and what its value says, None if unreadable."""
 
@@ -51,6 +58,7 @@
         self._releases = {}
         self._departures = {}
         self._lapsing = {}
+        self._gone_targets = {}
         self._whole_since = None
         self._returned_at = None
 
@@ -98,6 +106,16 @@
         """Return the registered targets of a group."""
         return [item for item in self._targets.values() if item.group == group]
 
+    def list_gone(self, group, now, within_s):
+        """Return targets of a group that vanished a short time ago."""
+        return [
+            item.target
+            for item in self._gone_targets.values()
+            if item.target.group == group
+            and item.target.id not in self._targets
+            and now - item.seen_at <= within_s
+        ]
+
     def list_releases(self, group):
         """Return the releases of a group's leads, by VM."""
         return self._releases.get(group, {})
@@ -151,7 +169,7 @@
         for target, limit in list(self._lapsing.items()):
             if now >= limit:
                 del self._lapsing[target]
-                self._targets.pop(target, None)
+                self._drop_target(now, target)
 
     def _take(self, now, item):
         known = self._entries.get(item.key)
@@ -203,7 +221,12 @@
             limit = self._returned_at + RETURN_GRACE_S
             self._lapsing[target.id] = limit
             return
-        self._targets.pop(target.id, None)
+        self._drop_target(now, target.id)
+
+    def _drop_target(self, now, name):
+        target = self._targets.pop(name, None)
+        if target is not None:
+            self._gone_targets[name] = GoneTarget(target, now)
 
     def _is_returning(self, now):
         if self._returned_at is None:
--- a/src/geraniumridge/_internal/models/desired.py
+++ b/src/geraniumridge/_internal/models/desired.py
@@ -102,11 +102,13 @@
 class TargetStatus(typing.NamedTuple):
     """What a target answers about itself.
 
-    `held_term` is the term for which it stopped receiving, 0 if it
-    receives; `lag_s` is how far its log is behind.
+    `term` is the term that it knows of; the log may still end in an
+    earlier one. `held_term` is the term for which it stopped
+    receiving, 0 if it receives; `lag_s` is how far its log is behind.
     """
 
     role: Role
+    term: int
     received: records.Mark
     held_term: int
     lag_s: float
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -2,8 +2,6 @@
 
 import typing
 
-from geraniumridge._internal.models import records
-
 LEADS_PREFIX = "geraniumridge/leads/"
 MEMBERS_PREFIX = "geraniumridge/members/"
 RELEASES_PREFIX = "geraniumridge/releases/"
@@ -34,13 +32,11 @@
 class Release(typing.NamedTuple):
     """A VM's word that it gave up a pending lead.
 
-    `revision` is that of the pending lead; `acknowledged` is the
-    highest log position that the VM saw acknowledged in the group.
+    `revision` is that of the pending lead.
     """
 
     vm: str
     revision: int
-    acknowledged: records.Mark = records.NO_MARK
 
 
 def make_lead_key(group):
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -134,7 +134,7 @@
         except exceptions.NotSentError:
             self._node.pools.get(plan.target.id).discard(pooled)
             raise
-        current = guard.enter()
+        current = guard.enter(plan.target.id)
         try:
             return await self._call(work, plan, pooled, until, current)
         finally:
@@ -208,6 +208,8 @@
                 pool.discard(pooled)
         if answer is None:
             pool.load.note_failure(clock.now())
+            if plan.is_primary and work.is_write:
+                self._node.get_guard(work.route.group).note_stuck()
             raise exceptions.ConnectionLostError(f"{plan.target.id}: silent")
         pool.load.note_position(answer.position)
         if plan.is_primary:
@@ -224,6 +226,8 @@
         if is_current and answer.position is not None:
             marks = self._node.get_marks(work.route.group)
             marks.add(sent_at, answer.position)
+        if answer.outcome is statements.Outcome.NOT_PRIMARY:
+            guard.note_refused()
         if not work.is_write or not answer.is_success:
             return answer
         if not is_current or not self._node.primacy.has_evidence(clock.now()):
@@ -231,8 +235,7 @@
                 outcome=statements.Outcome.IN_DOUBT,
                 detail="the primary was replaced meanwhile",
             )
-        if answer.position is not None:
-            guard.note_acknowledged(answer.position)
+        guard.note_kept()
         return answer
 
     def _settle(self, pool, pooled, answer):
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -6,7 +6,9 @@
 import trio
 
 from geraniumridge._internal.models import statements
+from geraniumridge._internal.proxy import failover
 from geraniumridge._internal.proxy import follower
+from geraniumridge._internal.proxy import leads
 from geraniumridge._internal.proxy import membership
 from geraniumridge._internal.proxy import session
 from geraniumridge._internal.utils import clock
@@ -36,15 +38,22 @@
         State of the VM.
     store : ports.store.Store
         The platform's store.
+    promoter : ports.targets.Promoter
+        Names the next primary of a group.
     """
 
-    def __init__(self, node, store):
+    def __init__(self, node, store, promoter):
         self._node = node
         self._changed = trio.Event()
         self._stopping = trio.Event()
         self._sessions = set()
         self._follower = follower.Follower(node, store, self._note_change)
         self._membership = membership.Membership(node, store)
+        self._leads = leads.LeadKeeper(
+            node, store, lambda: self._membership.lease
+        )
+        self._failover = failover.Failover(node, store, promoter)
+        self._nursery = None
 
     @property
     def is_stopping(self):
@@ -60,6 +69,7 @@
 
     async def start(self, nursery):
         """Start the tasks that keep the state."""
+        self._nursery = nursery
         nursery.start_soon(self._follower.run)
         nursery.start_soon(self._membership.run)
         nursery.start_soon(self._check)
@@ -121,8 +131,12 @@
             now = clock.now()
             self._node.view.expire(now)
             self._node.pools.refresh(self._node.view, now)
+            self._leads.check(self._nursery)
+            if not self.is_stopping:
+                self._failover.check(self._nursery)
 
     def _note_change(self):
+        self._leads.check(self._nursery)
         self._changed.set()
         self._changed = trio.Event()
 
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -0,0 +1,254 @@
+"""Decides when a group's primary is to be replaced, and starts it."""
+
+import logging
+import typing
+
+import trio
+
+from geraniumridge._internal.decisions import succession
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import fleet
+from geraniumridge._internal.ports import store as store_port
+from geraniumridge._internal.proxy import control
+from geraniumridge._internal.proxy import membership
+from geraniumridge._internal.proxy import replacement
+from geraniumridge._internal.utils import clock
+from geraniumridge._internal.utils import rendezvous
+
+logger = logging.getLogger(__name__)
+
+SUSPECT_S = 0.5
+"""How long a primary fails before it is asked for its status."""
+
+SUSPECT_FAILURES = 2
+"""Failures in a row before it is asked."""
+
+STUCK_WRITES = 3
+"""Writes without an answer after which a primary that answers counts
+as cut off from its replicas."""
+
+REFUSALS = 3
+"""Answers that a target is not primary, after which it is replaced."""
+
+STAGGER_S = 0.15
+"""Head start of each VM before the next in a group's order."""
+
+MAX_STAGGER_S = 1.5
+"""Longest such delay."""
+
+SETTLE_S = 2.5
+"""How long a VM looks on after its first listing of the store; entries
+that lapsed in an outage are back by then."""
+
+PAUSE_S = 3.0
+"""Least time between two replacements of one group."""
+
+
+class Reason(typing.NamedTuple):
+    """Why a primary is replaced.
+
+    `may_return` tells that the old one may stay if it answers again,
+    `needs_proof` that it has to be asked first.
+    """
+
+    text: str
+    may_return: bool = False
+    needs_proof: bool = False
+
+
+class Failover:
+    """Watches the primaries of all groups.
+
+    Parameters
+    ----------
+    node : proxy.node.Node
+        State of the VM.
+    store : ports.store.Store
+        The platform's store.
+    promoter : ports.targets.Promoter
+        Names the next primary.
+    """
+
+    def __init__(self, node, store, promoter):
+        self._node = node
+        self._store = store
+        self._promoter = promoter
+        self._active = set()
+        self._noticed = {}
+        self._pending = {}
+        self._settled_at = {}
+
+    def check(self, nursery):
+        """Start what is due; called often."""
+        state = self._node.view.state
+        now = clock.now()
+        if state is None or not self._may_act(now):
+            return
+        for group in state.groups:
+            if group not in self._active:
+                self._check_group(nursery, group, now)
+
+    def _may_act(self, now):
+        since = self._node.view.whole_since
+        if since is None or now - since < SETTLE_S:
+            return False
+        is_fresh = self._node.freshness.is_within(now, succession.HOLDER_S)
+        return is_fresh and self._node.primacy.is_member()
+
+    def _check_group(self, nursery, group, now):
+        lead = self._node.view.get_lead(group)
+        if lead is not None and lead.is_pending:
+            self._settled_at[group] = now
+            self._check_pending(nursery, group, lead, now)
+            return
+        self._pending.pop(group, None)
+        reason = self._find_reason(group, now)
+        if reason is None:
+            self._noticed.pop(group, None)
+            return
+        since = self._noticed.setdefault(group, now)
+        if now - self._settled_at.get(group, now - PAUSE_S) < PAUSE_S:
+            return
+        if now - since >= self._get_delay(group):
+            self._active.add(group)
+            nursery.start_soon(self._replace, group, reason)
+
+    def _check_pending(self, nursery, group, lead, now):
+        """Go on with a pending lead that is ours or was abandoned."""
+        key = fleet.make_lead_key(group)
+        revision = self._node.view.get_revision(key)
+        known, since = self._pending.get(group, (None, now))
+        if known != revision:
+            since = now
+            self._pending[group] = (revision, since)
+        is_abandoned = not self._is_alive(lead.holder)
+        limit = self._get_delay(group)
+        if not is_abandoned:
+            limit += succession.TAKEOVER_S
+        if now - since >= limit:
+            self._active.add(group)
+            nursery.start_soon(
+                self._replace, group, Reason("taken over", may_return=True)
+            )
+
+    def _is_alive(self, holder):
+        """Tell whether the run that holds a lead is still registered."""
+        vm, _, boot = holder.partition("/")
+        member = self._node.view.members.get(vm)
+        return member is not None and member.boot == boot
+
+    def _get_delay(self, group):
+        ranked = rendezvous.rank_nodes(group, self._node.view.members)
+        rank = ranked.index(self._node.settings.vm.name)
+        return min(MAX_STAGGER_S, rank * STAGGER_S)
+
+    def _find_reason(self, group, now):
+        view = self._node.view
+        members = view.list_group(group)
+        if not members:
+            return None
+        primary = self._node.primacy.find_primary(group)
+        if primary is None:
+            return Reason("no primary")
+        if not self._has_successor(members, primary):
+            return None
+        if primary.is_draining:
+            return Reason("draining")
+        if primary.domain in view.evacuated:
+            return Reason("evacuated")
+        guard = self._node.get_guard(group)
+        if guard.target == primary.id:
+            if guard.stuck_writes >= STUCK_WRITES:
+                return Reason("writes get no answer")
+            if guard.refused >= REFUSALS:
+                return Reason("says it is not primary")
+        if self._is_suspect(primary, now):
+            return Reason("silent", may_return=True, needs_proof=True)
+        return None
+
+    def _has_successor(self, members, primary):
+        return any(
+            target.id != primary.id
+            and not target.is_draining
+            and target.domain not in self._node.view.evacuated
+            for target in members
+        )
+
+    def _is_suspect(self, primary, now):
+        load = self._node.pools.get(primary.id).load
+        if load.failures < SUSPECT_FAILURES:
+            return False
+        return now - load.failing_since >= SUSPECT_S
+
+    async def _replace(self, group, reason):
+        try:
+            if reason.needs_proof and await self._answers(group):
+                return
+            if await self._mark(group, reason):
+                await replacement.Replacement(
+                    self._node,
+                    self._store,
+                    self._promoter,
+                    group,
+                    reason.may_return,
+                ).run()
+        finally:
+            self._active.discard(group)
+
+    async def _answers(self, group):
+        """Tell whether the primary answers after all."""
+        primary = self._node.primacy.find_primary(group)
+        if primary is None:
+            return False
+        asked = control.Control(self._node.dialect, primary)
+        try:
+            status = await asked.inspect()
+        finally:
+            asked.close()
+        if status is None:
+            return False
+        self._node.pools.get(primary.id).load.note_answer()
+        return True
+
+    async def _mark(self, group, reason):
+        """Write the pending lead; tells whether this VM holds it."""
+        key = fleet.make_lead_key(group)
+        known = self._node.view.get_lead(group)
+        primary = self._node.primacy.find_primary(group)
+        holder = f"{self._node.settings.vm.name}/{self._node.boot}"
+        old = primary.id if primary else ""
+        if known is not None:
+            old = known.target
+        term = max(
+            known.term if known else 0, self._node.get_marks(group).term
+        )
+        lead = fleet.Lead(old, term, holder, True)
+        write = store_port.Write(key, membership.encode_record(lead))
+        expected = {key: self._node.view.get_revision(key)}
+        try:
+            revision = await self._store.commit(expected, [write])
+        except exceptions.PlatformError as error:
+            self._log("lead not marked", group, reason, why=str(error))
+            return False
+        self._log("lead marked", group, reason, target=old, fence=revision)
+        return await self._is_shown(key, revision)
+
+    async def _is_shown(self, key, revision):
+        """Wait until the view shows the own mark, and no later one."""
+        with trio.move_on_after(succession.HOLDER_S):
+            while self._node.view.get_revision(key) < revision:
+                await trio.sleep(replacement.POLL_S)
+        return self._node.view.get_revision(key) == revision
+
+    def _log(self, message, group, reason, **fields):
+        event = message.replace(" ", "_")
+        logger.info(
+            message,
+            extra={
+                "event": event,
+                "group": group,
+                "reason": reason.text,
+                "age_s": round(self._node.freshness.get_age(clock.now()), 3),
+                **fields,
+            },
+        )
--- a/src/geraniumridge/_internal/proxy/guard.py
+++ b/src/geraniumridge/_internal/proxy/guard.py
@@ -2,8 +2,6 @@
 
 import trio
 
-from geraniumridge._internal.models import records
-
 
 class PrimaryGuard:
     """Statements at one group's primary.
@@ -17,7 +15,9 @@
         self._running = 0
         self._quiet = trio.Event()
         self._quiet.set()
-        self._acknowledged = records.NO_MARK
+        self._target = None
+        self._stuck_writes = 0
+        self._refused = 0
 
     @property
     def epoch(self):
@@ -25,14 +25,26 @@
         return self._epoch
 
     @property
-    def acknowledged(self):
-        """Highest position that was seen acknowledged."""
-        return self._acknowledged
+    def target(self):
+        """Id of the target used in this epoch, or None."""
+        return self._target
+
+    @property
+    def stuck_writes(self):
+        """Writes without an answer since the last one that succeeded."""
+        return self._stuck_writes
+
+    @property
+    def refused(self):
+        """Answers of the target in a row that it is not primary."""
+        return self._refused
 
-    def enter(self):
-        """Count a statement and return its epoch."""
+    def enter(self, target):
+        """Count a statement at a target and return its epoch."""
+        self._target = target
         self._running += 1
-        self._quiet = trio.Event()
+        if self._running == 1:
+            self._quiet = trio.Event()
         return self._epoch
 
     def leave(self):
@@ -41,13 +53,25 @@
         if self._running == 0:
             self._quiet.set()
 
-    def note_acknowledged(self, mark):
-        """Note the position after a commit that was acknowledged."""
-        self._acknowledged = max(self._acknowledged, mark)
+    def note_kept(self):
+        """Note a write that the primary kept."""
+        self._stuck_writes = 0
+        self._refused = 0
+
+    def note_stuck(self):
+        """Note a write that got no answer."""
+        self._stuck_writes += 1
+
+    def note_refused(self):
+        """Note an answer that the target is not primary."""
+        self._refused += 1
 
     def end_epoch(self):
         """Give the primary up; later answers prove nothing."""
         self._epoch += 1
+        self._target = None
+        self._stuck_writes = 0
+        self._refused = 0
 
     async def wait_quiet(self, timeout_s):
         """Wait until no statement runs; tells whether that is so."""
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -46,6 +46,11 @@
         """Return the marks of a group."""
         return self._marks.setdefault(group, marks.Marks())
 
+    def get_lead_term(self, group):
+        """Return the term of a group's lead, 0 before the first change."""
+        lead = self.view.get_lead(group)
+        return lead.term if lead else 0
+
     def get_guard(self, group):
         """Return the guard of a group's primary."""
         found = self._guards.get(group)
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -18,8 +18,9 @@
 KEEP_SHARE = 0.8
 """Part of a target's connections that all VMs together may keep idle."""
 
-OPEN_SHARE = 0.34
-"""Part of a target's connections that one VM may have open."""
+SPARE = 1
+"""Connections that a VM may open beyond its equal part; the target
+refuses those that all VMs together open too many."""
 
 IDLE_S = 20.0
 """Idle connections are closed after this long."""
@@ -76,9 +77,9 @@
 
     def set_limits(self, max_connections, members):
         """Derive the own part of a target's connections."""
-        share = KEEP_SHARE * max_connections / max(1, members)
-        self._keep = max(1, int(share))
-        self._most = max(2, int(OPEN_SHARE * max_connections))
+        share = max_connections / max(1, members)
+        self._keep = max(1, int(KEEP_SHARE * share))
+        self._most = max(1, int(share)) + SPARE
 
     async def borrow(self, target, team):
         """Return a connection of a team; the caller bounds the time.
@@ -151,10 +152,10 @@
         try:
             link = await self._dialect.open(target, team, CONNECT_TIMEOUT_S)
         except exceptions.TargetRefusedError as error:
+            self.load.note_answer()
             if error.outcome is statements.Outcome.TOO_MANY_CONNECTIONS:
-                self.load.note_answer()
                 await trio.sleep(LIMIT_PAUSE_S)
-            raise
+            raise exceptions.NotSentError(str(error))
         except exceptions.NetworkError:
             self.load.note_failure(clock.now())
             raise
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -79,7 +79,8 @@
             session_mark = work.session.get_mark(route.group)
         since = clock.now() - route.max_age_s + ARRIVAL_S
         marks = self._node.get_marks(route.group)
-        return placement.find_minimum(marks, session_mark, since)
+        lead_term = self._node.get_lead_term(route.group)
+        return placement.find_minimum(marks, session_mark, lead_term, since)
 
     def _estimate(self, target, minimum, now):
         load = self._node.pools.get(target.id).load
--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -3,6 +3,7 @@
 import logging
 import typing
 
+from geraniumridge._internal.decisions import placement
 from geraniumridge._internal.kernel import registry
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.proxy import admission
@@ -69,14 +70,15 @@
         return state.idle_transaction_s
 
     def get_mark(self, group):
-        """Return the position after the session's last commit."""
+        """Return the `placement.SessionMark` of a group, or None."""
         return self._marks.get(group)
 
     def note_commit(self, group, mark):
         """Note the position after a commit of the session."""
         if mark is not None:
-            known = self._marks.get(group, mark)
-            self._marks[group] = max(mark, known)
+            lead_term = self._node.get_lead_term(group)
+            made = placement.SessionMark(lead_term, mark)
+            self._marks[group] = max(made, self._marks.get(group, made))
 
     def check_start(self):
         """Return the `Outcome` that refuses the session, or None."""
