--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -55,6 +55,7 @@
         self._targets = {}
         self._evacuated = set()
         self._members = {}
+        self._joined = {}
         self._releases = {}
         self._departures = {}
         self._lapsing = {}
@@ -87,6 +88,11 @@
         """Live `fleet.Member` by VM."""
         return self._members
 
+    @property
+    def joined(self):
+        """Clock time at which each member's run was first seen."""
+        return self._joined
+
     @property
     def whole_since(self):
         """Since when no change can have been missed; None if never."""
@@ -182,14 +188,14 @@
         if known is not None and type(record) is not type(known.record):
             self._forget(now, item.key, known.record)
         self._entries[item.key] = Entry(item.revision, record)
-        self._store(item.key, record)
+        self._store(now, item.key, record)
 
     def _remove(self, now, key):
         known = self._entries.pop(key, None)
         if known is not None:
             self._forget(now, key, known.record)
 
-    def _store(self, key, record):
+    def _store(self, now, key, record):
         if isinstance(record, desired.DesiredState):
             self._state = record
         elif isinstance(record, desired.Target):
@@ -198,8 +204,7 @@
         elif isinstance(record, Evacuation):
             self._evacuated.add(record.domain)
         elif isinstance(record, fleet.Member):
-            self._members[record.vm] = record
-            self._departures.pop(record.vm, None)
+            self._store_member(now, record)
         elif isinstance(record, fleet.Release):
             group = fleet.parse_release_group(key)
             self._releases.setdefault(group, {})[record.vm] = record
@@ -211,11 +216,19 @@
             self._evacuated.discard(record.domain)
         elif isinstance(record, fleet.Member):
             self._members.pop(record.vm, None)
+            self._joined.pop(record.vm, None)
             self._departures[record.vm] = Departure(record, now)
         elif isinstance(record, fleet.Release):
             group = fleet.parse_release_group(key)
             self._releases.get(group, {}).pop(record.vm, None)
 
+    def _store_member(self, now, record):
+        known = self._members.get(record.vm)
+        if known is None or known.boot != record.boot:
+            self._joined[record.vm] = now
+        self._members[record.vm] = record
+        self._departures.pop(record.vm, None)
+
     def _forget_target(self, now, target):
         if self._is_returning(now):
             limit = self._returned_at + RETURN_GRACE_S
--- /dev/null
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -0,0 +1,17 @@
+/** Datagrams between the proxies of a fleet. */
+
+/** Asks the limiter of a team for operations. */
+struct Draw {
+  1: required i64 number
+  2: required string team
+  3: required i32 wanted
+}
+
+/** Answers a draw. `is_owner` is false where the VM does not limit the
+    team; `retry_ms` tells when to ask again. */
+struct Grant {
+  1: required i64 number
+  2: required bool is_owner
+  3: required i32 tokens
+  4: required i32 retry_ms
+}
--- a/src/geraniumridge/_internal/proxy/admission.py
+++ b/src/geraniumridge/_internal/proxy/admission.py
@@ -43,6 +43,16 @@
         self._database = database
         self._key = key
 
+    @property
+    def database(self):
+        """What the caller connected to."""
+        return self._database
+
+    @property
+    def team(self):
+        """The team that the key belongs to now, or None."""
+        return self._node.view.state.keys.get(self._key)
+
     def check_start(self):
         """Return the outcome that refuses the session, or None."""
         grant = self._find()
@@ -60,15 +70,13 @@
             return Outcome.UNAUTHORIZED
         return None
 
-    def admit(self):
+    async def admit(self):
         """Return the `Grant` of one operation, counted by its rate."""
         grant = self._find()
         if grant.outcome is not None or grant.team == NO_TEAM:
             return grant
         team = self._node.view.state.teams.get(grant.team)
-        now = clock.now()
-        members = len(self._node.view.members)
-        if team is None or self._node.rates.take(team, members, now):
+        if team is None or await self._node.limits.take(team):
             return grant
         return Grant(outcome=Outcome.OVERLOADED, detail="rate limit")
 
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -6,9 +6,11 @@
 import trio
 
 from geraniumridge._internal.models import statements
+from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.proxy import failover
 from geraniumridge._internal.proxy import follower
 from geraniumridge._internal.proxy import leads
+from geraniumridge._internal.proxy import limits
 from geraniumridge._internal.proxy import membership
 from geraniumridge._internal.proxy import session
 from geraniumridge._internal.utils import clock
@@ -54,6 +56,10 @@
         )
         self._failover = failover.Failover(node, store, promoter)
         self._nursery = None
+        self._peers = datagrams.Peers(
+            f"{node.settings.vm.ip}:{node.settings.listen.first_peer_port}"
+        )
+        node.limits = limits.Limits(node, self._peers)
 
     @property
     def is_stopping(self):
@@ -70,6 +76,7 @@
     async def start(self, nursery):
         """Start the tasks that keep the state."""
         self._nursery = nursery
+        await self._peers.start(nursery)
         nursery.start_soon(self._follower.run)
         nursery.start_soon(self._membership.run)
         nursery.start_soon(self._check)
@@ -131,6 +138,7 @@
             now = clock.now()
             self._node.view.expire(now)
             self._node.pools.refresh(self._node.view, now)
+            self._node.limits.refresh()
             self._leads.check(self._nursery)
             if not self.is_stopping:
                 self._failover.check(self._nursery)
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -0,0 +1,195 @@
+"""Takes each operation out of its team's limit over all VMs."""
+
+import logging
+
+import trio
+
+from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.network import datagrams
+from geraniumridge._internal.network import streams
+from geraniumridge._internal.utils import clock
+
+logger = logging.getLogger(__name__)
+
+ANSWER_S = 0.02
+"""How long a limiter may take to answer before it is asked again."""
+
+TRIES = 2
+"""Questions to a limiter before it counts as silent."""
+
+SILENT_S = 0.5
+"""Pause before a silent limiter is asked again."""
+
+MIN_RETRY_S = 0.005
+"""Least pause before a limiter that had no token is asked again."""
+
+MAX_RETRY_MS = 1_000
+
+
+class _TeamState:
+    """What this VM holds of one team's limit."""
+
+    def __init__(self, now):
+        self.reserve = rates.Bucket(now)
+        self.stock = rates.Stock()
+        self.demand = rates.Demand(now)
+        self.turn = trio.Lock()
+        self.ask_at = 0.0
+
+
+class Limits:
+    """Limits of all teams, as seen by one VM.
+
+    Parameters
+    ----------
+    node : proxy.node.Node
+        State of the VM.
+    peers : network.datagrams.Peers
+        Way to the other VMs.
+    """
+
+    def __init__(self, node, peers):
+        self._node = node
+        self._peers = peers
+        self._teams = {}
+        self._masters = {}
+        self._waiting = {}
+        self._next_number = 0
+        peers.handle(datagrams.messages.Draw, self._answer_draw)
+        peers.handle(datagrams.messages.Grant, self._take_grant)
+
+    async def take(self, team):
+        """Take one operation of a team.
+
+        Parameters
+        ----------
+        team : desired.Team
+            The team and its limit.
+
+        Returns
+        -------
+        bool
+            Whether it lies within the limit.
+        """
+        now = clock.now()
+        state = self._teams.get(team.name)
+        if state is None:
+            state = self._teams[team.name] = _TeamState(now)
+        rate = state.demand.note(now)
+        allowance = rates.Allowance(team.rate_per_s, team.burst)
+        if state.stock.take(now):
+            return True
+        share = rates.RESERVE / self._count_members(now)
+        if state.reserve.take(allowance.scale(share), 1, now):
+            return True
+        if now < state.ask_at:
+            return False
+        async with state.turn:
+            return await self._draw(team.name, state, rate)
+
+    def refresh(self):
+        """Forget buckets of teams that this VM does not limit."""
+        for team in list(self._masters):
+            if not self._is_limiter(team, clock.now()):
+                del self._masters[team]
+
+    async def _draw(self, team, state, rate):
+        now = clock.now()
+        if state.stock.take(now):
+            return True
+        if now < state.ask_at:
+            return False
+        wanted = 1 + rates.count_prepaid(rate)
+        grant = await self._ask(team, wanted)
+        if grant is None:
+            state.ask_at = clock.now() + SILENT_S
+            return False
+        state.stock.add(grant.tokens, now + rates.GRANT_S)
+        if grant.tokens < wanted:
+            pause_s = max(MIN_RETRY_S, grant.retry_ms / 1000)
+            state.ask_at = clock.now() + pause_s
+        return state.stock.take(clock.now())
+
+    async def _ask(self, team, wanted):
+        """Return the limiter's grant, None if it is silent or none."""
+        joined = self._node.view.joined
+        owner = rates.find_limiter(team, joined, clock.now())
+        if owner is None:
+            return None
+        if owner == self._node.settings.vm.name:
+            return self._grant(0, team, wanted)
+        address = streams.split_address(self._node.view.members[owner].address)
+        for _ in range(TRIES):
+            grant = await self._ask_once(team, wanted, address)
+            if grant is not None:
+                return grant if grant.is_owner else None
+        logger.info(
+            "limiter silent",
+            extra={"event": "limiter_silent", "team": team, "owner": owner},
+        )
+        return None
+
+    async def _ask_once(self, team, wanted, address):
+        self._next_number += 1
+        number = self._next_number
+        answered = trio.Event()
+        self._waiting[number] = waiting = [answered, None]
+        try:
+            await self._peers.send(
+                datagrams.messages.Draw(
+                    number=number, team=team, wanted=wanted
+                ),
+                address,
+            )
+            with trio.move_on_after(ANSWER_S):
+                await answered.wait()
+            return waiting[1]
+        finally:
+            del self._waiting[number]
+
+    async def _take_grant(self, message, sender):
+        waiting = self._waiting.get(message.number)
+        if waiting is not None:
+            waiting[1] = message
+            waiting[0].set()
+
+    async def _answer_draw(self, message, sender):
+        grant = self._grant(message.number, message.team, message.wanted)
+        await self._peers.send(grant, sender)
+
+    def _grant(self, number, team, wanted):
+        """Hand out tokens if this VM limits the team."""
+        now = clock.now()
+        plan = self._node.view.state
+        found = plan.teams.get(team) if plan else None
+        if found is None or not self._is_limiter(team, now):
+            return datagrams.messages.Grant(
+                number=number, is_owner=False, tokens=0, retry_ms=0
+            )
+        master = self._masters.get(team)
+        if master is None:
+            master = self._masters[team] = rates.Bucket(now)
+        allowance = rates.Allowance(found.rate_per_s, found.burst).scale(
+            rates.DRAWN
+        )
+        tokens = master.take(allowance, wanted, now)
+        retry_ms = min(MAX_RETRY_MS, master.find_retry(allowance) * 1000)
+        return datagrams.messages.Grant(
+            number=number,
+            is_owner=True,
+            tokens=tokens,
+            retry_ms=int(retry_ms),
+        )
+
+    def _is_limiter(self, team, now):
+        if not self._node.primacy.is_member():
+            return False
+        if not self._node.freshness.is_within(now, rates.OWNER_AGE_S):
+            return False
+        owner = rates.find_limiter(team, self._node.view.joined, now)
+        return owner == self._node.settings.vm.name
+
+    def _count_members(self, now):
+        view = self._node.view
+        departed = view.list_departures(now, rates.REMEMBER_S)
+        return max(1, len(view.members) + len(departed))
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -3,7 +3,6 @@
 from geraniumridge._internal.decisions import freshness
 from geraniumridge._internal.decisions import marks
 from geraniumridge._internal.decisions import primacy
-from geraniumridge._internal.decisions import rates
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.proxy import guard
 from geraniumridge._internal.proxy import pool
@@ -38,7 +37,7 @@
             settings.vm.name, boot, self.view, self.freshness
         )
         self.pools = pool.Pools(dialect)
-        self.rates = rates.Rates()
+        self.limits = None
         self._marks = {}
         self._guards = {}
 
--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -9,6 +9,7 @@
 from geraniumridge._internal.proxy import admission
 from geraniumridge._internal.proxy import single
 from geraniumridge._internal.proxy import transaction
+from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
 
@@ -91,8 +92,27 @@
             answer = refuse(Outcome.MALFORMED, "the transaction has failed")
         else:
             answer = await VERBS.get(statement.verb)(self, statement)
+        self._log(statement, answer)
         return answer._replace(state=self.state)
 
+    def _log(self, statement, answer):
+        if answer.is_success and answer.digest is None:
+            return
+        logger.info(
+            "statement",
+            extra={
+                "event": "served" if answer.is_success else "refused",
+                "request": statement.id,
+                "verb": statement.verb.value,
+                "database": self._admission.database,
+                "team": self._admission.team,
+                "outcome": answer.outcome and answer.outcome.value,
+                "why": answer.detail,
+                "age_s": round(self._node.freshness.get_age(clock.now()), 2),
+                "version": self._node.view.state.version,
+            },
+        )
+
     async def expire(self):
         """Roll back a transaction that rested for too long."""
         if self._transaction is not None:
@@ -128,7 +148,7 @@
     async def _begin(self, statement):
         if self._transaction is not None:
             return refuse(Outcome.MALFORMED, "in a transaction already")
-        grant = self._admission.admit()
+        grant = await self._admission.admit()
         if grant.outcome is not None:
             return refuse(grant.outcome, grant.detail)
         self._transaction = transaction.Transaction(
@@ -187,7 +207,7 @@
         return answer
 
     async def _run_alone(self, statement, is_write):
-        grant = self._admission.admit()
+        grant = await self._admission.admit()
         if grant.outcome is not None:
             return refuse(grant.outcome, grant.detail)
         answer = await self._single.run(self, grant, statement, is_write)
