Prove the statement path on models of store, instances and duties

Adds the model of the platform (standins/kvstore, linegroup, duties), tests of the path and of each decision. They found: buckets of limits were made at the first operation, which was then refused; a message that is too large was answered by a reset; reads all went to the primary while nothing was known of the replicas.

--- a/src/geraniumridge/_internal/decisions/load.py
+++ b/src/geraniumridge/_internal/decisions/load.py
@@ -1,5 +1,7 @@
 """What a VM knows of a target from its own traffic."""
 
+import math
+
 from geraniumridge._internal.models import records
 
 FIRST_LATENCY_S = 0.02
@@ -14,6 +16,9 @@
 MAX_RETRY_S = 2.0
 """Longest pause between tries of a target that keeps failing."""
 
+POSITION_S = 0.1
+"""How long a position tells that a target is behind; it catches up."""
+
 STALLED_S = 0.25
 """Age of an unanswered call that counts against its target."""
 
@@ -29,6 +34,7 @@
         self._failing_since = None
         self._retry_at = 0.0
         self._position = records.NO_MARK
+        self._position_at = -math.inf
 
     @property
     def outstanding(self):
@@ -83,10 +89,17 @@
         pause = min(MAX_RETRY_S, RETRY_S * 2 ** (self._failures - 1))
         self._retry_at = now + pause
 
-    def note_position(self, position):
+    def note_position(self, position, now):
         """Note a log position that the target showed."""
         if position is not None:
             self._position = max(self._position, position)
+            self._position_at = now
+
+    def is_behind(self, minimum, now):
+        """Tell whether the target lately had not reached a position."""
+        if self._position >= minimum:
+            return False
+        return now - self._position_at < POSITION_S
 
     def is_resting(self, now):
         """Tell whether the target is left alone after a failure."""
--- a/src/geraniumridge/_internal/decisions/placement.py
+++ b/src/geraniumridge/_internal/decisions/placement.py
@@ -13,9 +13,13 @@
 """Latency added for a target with a call that has waited for long."""
 
 BEHIND_S = 0.030
-"""Latency added for a target not known to have reached the position;
+"""Latency added for a target that lately had not reached the position;
 about the cost of being refused there."""
 
+PRIMARY_S = 0.015
+"""Latency added for a primary, whose slots only it can use for
+writes."""
+
 
 class Placement(typing.NamedTuple):
     """A target, and the position that its log must have reached."""
@@ -103,8 +107,10 @@
     wait = load.latency_s * (1 + busy)
     if target.domain != own_domain:
         wait += OTHER_DOMAIN_S
-    if load.position < minimum:
+    if load.is_behind(minimum, now):
         wait += BEHIND_S
+    if target.role is desired.Role.PRIMARY:
+        wait += PRIMARY_S
     if load.is_stalled(now):
         wait += STALLED_S
     return wait
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -211,7 +211,7 @@
             if plan.is_primary and work.is_write:
                 self._node.get_guard(work.route.group).note_stuck()
             raise exceptions.ConnectionLostError(f"{plan.target.id}: silent")
-        pool.load.note_position(answer.position)
+        pool.load.note_position(answer.position, clock.now())
         if plan.is_primary:
             answer = self._take_primary(work, answer, sent_at, epoch)
         if answer.state is statements.TransactionState.OPEN:
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -72,9 +72,7 @@
             Whether it lies within the limit.
         """
         now = clock.now()
-        state = self._teams.get(team.name)
-        if state is None:
-            state = self._teams[team.name] = _TeamState(now)
+        state = self._get_team(team.name, now)
         rate = state.demand.note(now)
         allowance = rates.Allowance(team.rate_per_s, team.burst)
         if state.stock.take(now):
@@ -88,10 +86,29 @@
             return await self._draw(team.name, state, rate)
 
     def refresh(self):
-        """Forget buckets of teams that this VM does not limit."""
-        for team in list(self._masters):
-            if not self._is_limiter(team, clock.now()):
-                del self._masters[team]
+        """Follow the teams, and which of them this VM limits.
+
+        Buckets start empty, so they are made before they are needed.
+        """
+        state = self._node.view.state
+        if state is None:
+            return
+        now = clock.now()
+        for team in state.teams:
+            self._get_team(team, now)
+            if not self._is_limiter(team, now):
+                self._masters.pop(team, None)
+            elif team not in self._masters:
+                self._masters[team] = rates.Bucket(now)
+        for known in (self._teams, self._masters):
+            for team in known.keys() - state.teams.keys():
+                del known[team]
+
+    def _get_team(self, team, now):
+        state = self._teams.get(team)
+        if state is None:
+            state = self._teams[team] = _TeamState(now)
+        return state
 
     async def _draw(self, team, state, rate):
         now = clock.now()
--- /dev/null
+++ b/standins/kvstore.py
@@ -0,0 +1,202 @@
+"""Model of the platform's key-value store, with leases and watches.
+
+Runs inside a trio program (`KvStore.start`) on loopback. Faults are
+attributes: `refusal` (``"busy"``, ``"many"``, ``"reset"``,
+``"silent"`` or None), `delay_s`, `lose_answers` (how many of the next
+writes are done and not answered) and `compact` (drops the history).
+"""
+
+import base64
+import urllib.parse
+
+import msgspec
+import trio
+
+from geraniumridge._internal.network import http
+from geraniumridge._internal.network import streams
+
+PAGE_ITEMS = 500
+READ_ONLY_PREFIXES = ("op/", "servers/")
+REFUSALS = {"busy": 503, "many": 429}
+
+
+class KvStore:
+    """Keys with revisions, leases, history, and the faults in force."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 100
+        self.leases = {}
+        self.refusal = None
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.calls = []
+        self._history = []
+        self._oldest = self.revision
+        self._next_lease = 1
+        self._changed = trio.Event()
+
+    async def start(self, nursery, address):
+        """Listen on ``IP:port``."""
+        nursery.start_soon(self._expire_leases)
+        await streams.serve(nursery, address, self._serve)
+
+    def put(self, key, data, lease=0):
+        """Write a value as the platform or the operator; bytes or JSON."""
+        value = data if isinstance(data, bytes) else msgspec.json.encode(data)
+        self.revision += 1
+        known = self.items.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "rev": self.revision,
+            "createRev": known["createRev"] if known else self.revision,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self._record(item)
+        return self.revision
+
+    def delete(self, key):
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._record({"key": key, "rev": self.revision, "tombstone": True})
+
+    def get(self, key):
+        """Return a key's decoded JSON value, or None."""
+        item = self.items.get(key)
+        if item is None:
+            return None
+        return msgspec.json.decode(base64.b64decode(item["value"]))
+
+    def compact(self):
+        """Drop the history and cut all waiting watches."""
+        self._history.clear()
+        self._oldest = self.revision
+        self._wake()
+
+    def _record(self, event):
+        self._history.append(event)
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _expire_leases(self):
+        while True:
+            await trio.sleep(0.02)
+            now = trio.current_time()
+            for lease, (ttl_s, until) in list(self.leases.items()):
+                if now >= until:
+                    self._end_lease(lease)
+
+    def _end_lease(self, lease):
+        self.leases.pop(lease, None)
+        keys = [key for key, item in self.items.items()]
+        for key in keys:
+            if self.items[key]["lease"] == lease:
+                self.delete(key)
+
+    async def _serve(self, stream):
+        await http.ServerConnection(stream, self._answer).run()
+
+    async def _answer(self, request):
+        if self.refusal == "silent":
+            await trio.sleep_forever()
+        if self.refusal == "reset":
+            raise trio.BrokenResourceError
+        if self.refusal is not None:
+            return http.Response(REFUSALS[self.refusal], b"{}")
+        path, _, query = request.path.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        self.calls.append(path)
+        await trio.sleep(self.delay_s)
+        body = msgspec.json.decode(request.body) if request.body else {}
+        if path == "/-/kv-watch":
+            return await self._watch(fields)
+        status, data = self._dispatch(path, fields, body)
+        if path == "/-/kv-txn" and self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise trio.BrokenResourceError
+        return http.make_json_response(data, status)
+
+    def _dispatch(self, path, fields, body):
+        if path == "/-/kv-key":
+            item = self.items.get(fields["key"])
+            data = {**(item or {}), "asOf": self.revision}
+            return (200 if item else 404), data
+        if path == "/-/kv-range":
+            return 200, self._range(fields)
+        if path == "/-/kv-txn":
+            return self._commit(body)
+        if path == "/-/kv-lease":
+            lease, self._next_lease = self._next_lease, self._next_lease + 1
+            ttl_s = body["ttlMs"] / 1000
+            self.leases[lease] = (ttl_s, trio.current_time() + ttl_s)
+            return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+        lease = int(path.rpartition("/")[2])
+        if lease not in self.leases:
+            return 404, {}
+        if path.startswith("/-/kv-keep/"):
+            ttl_s = self.leases[lease][0]
+            self.leases[lease] = (ttl_s, trio.current_time() + ttl_s)
+            return 200, {"ttlMs": int(ttl_s * 1000)}
+        self._end_lease(lease)
+        return 200, {}
+
+    def _range(self, fields):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(fields.get("prefix", ""))
+            and key > fields.get("after", "")
+        )
+        page = keys[:PAGE_ITEMS]
+        return {
+            "items": [self.items[key] for key in page],
+            "truncated": len(keys) > len(page),
+            "asOf": self.revision,
+        }
+
+    def _commit(self, body):
+        for row in body["expected"]:
+            item = self.items.get(row["key"])
+            if (item["rev"] if item else 0) != row["rev"]:
+                return 412, {"items": []}
+        for write in body["writes"]:
+            if write["key"].startswith(READ_ONLY_PREFIXES):
+                return 403, {}
+            if write.get("lease") and write["lease"] not in self.leases:
+                return 404, {}
+        for write in body["writes"]:
+            value = base64.b64decode(write["value"])
+            self.put(write["key"], value, write.get("lease", 0))
+        for key in body.get("deletes", ()):
+            self.delete(key)
+        return 200, {"rev": self.revision}
+
+    async def _watch(self, fields):
+        after = int(fields["after"])
+        prefix = fields.get("prefix", "")
+        with trio.move_on_after(int(fields["waitMs"]) / 1000):
+            while after >= self._oldest:
+                changed = self._changed
+                if self._list_events(prefix, after):
+                    break
+                await changed.wait()
+        if after < self._oldest:
+            return http.make_json_response({}, 410)
+        data = {
+            "events": self._list_events(prefix, after),
+            "asOf": self.revision,
+        }
+        return http.make_json_response(data)
+
+    def _list_events(self, prefix, after):
+        return [
+            event
+            for event in self._history
+            if event["rev"] > after and event["key"].startswith(prefix)
+        ]
--- /dev/null
+++ b/tests/functional/test_proxy_path.py
@@ -0,0 +1,233 @@
+"""The statement path: sessions, transactions, reads, refusals."""
+
+import trio
+
+from geraniumridge._internal.utils import clock
+from lib import proxies
+from lib.proxies import is_success
+from lib.proxies import run_world
+
+
+@run_world
+async def test_a_write_is_read_back(world, proxy):
+    caller = await world.connect(proxy)
+    written = await caller.query("WRITE item data")
+    assert is_success(written) and written[-1] != "COMPLETE -"
+    rows = await caller.query("READ item")
+    assert rows[0] == "ROW data"
+
+
+@run_world
+async def test_ids_and_texts_arrive_unchanged_under_the_team(world, proxy):
+    caller = await world.connect(proxy)
+    await caller.send("QUERY my-own-id WRITE item some more words")
+    while not (await caller.read_line()).startswith("READY"):
+        pass
+    primary = world.group.instances["i-0"]
+    assert primary.ran[-1][:2] == ("my-own-id", "team")
+    assert primary.data["item"] == "some more words"
+
+
+@run_world
+async def test_session_values_and_prepared_names_follow_the_session(
+    world, proxy
+):
+    """Two sessions share one connection; neither sees the other's."""
+    first = await world.connect(proxy)
+    second = await world.connect(proxy)
+    await first.query("SET zone one")
+    await first.query("PREPARE s1 WRITE q1")
+    await second.query("PREPARE s1 READ q2")
+    assert is_success(await first.query("EXECUTE s1 item data"))
+    assert (await second.query("EXECUTE s1 item"))[0] == "ROW data"
+    assert is_success(await first.query("EXECUTE s1 item more"))
+    ran = world.group.instances["i-0"].ran
+    assert [values for _, _, values, _ in ran] == [
+        {"zone": "one"},
+        {},
+        {"zone": "one"},
+    ]
+    assert world.group.instances["i-0"].connections == 1
+
+
+@run_world
+async def test_a_dropped_prepared_name_is_unknown(world, proxy):
+    caller = await world.connect(proxy)
+    await caller.query("PREPARE s1 READ q1")
+    await caller.query("DEALLOC s1")
+    assert (await caller.query("EXECUTE s1 x"))[0].startswith("ERROR NOSTMT")
+
+
+@run_world
+async def test_a_transaction_commits_as_a_whole(world, proxy):
+    caller = await world.connect(proxy)
+    assert (await caller.query_all("BEGIN"))[-1] == "READY T -"
+    await caller.query("WRITE a 1")
+    await caller.query("WRITE b 2")
+    assert not world.group.instances["i-0"].data
+    lines = await caller.query_all("COMMIT")
+    assert is_success(lines[:-1]) and lines[-1] == "READY I -"
+    assert world.group.instances["i-0"].data == {"a": "1", "b": "2"}
+
+
+@run_world
+async def test_a_client_that_leaves_rolls_back(world, proxy):
+    caller = await world.connect(proxy)
+    await caller.query("BEGIN")
+    await caller.query("WRITE a 1")
+    await caller.close()
+    other = await world.connect(proxy)
+    assert (await other.query("READ a"))[0] == "ROW none"
+
+
+@run_world
+async def test_a_transaction_that_rests_too_long_is_rolled_back(world, proxy):
+    caller = await world.connect(proxy)
+    await caller.query("BEGIN")
+    await caller.query("WRITE a 1")
+    await trio.sleep(0.7)
+    lines = await caller.query_all("READ a")
+    assert lines[0].startswith("ERROR MALFORMED")
+    assert lines[-1] == "READY E -"
+    assert (await caller.query_all("ROLLBACK"))[-1] == "READY I -"
+    assert (await caller.query("READ a"))[0] == "ROW none"
+
+
+@run_world
+async def test_a_session_sees_its_own_commit_on_a_lagging_replica(
+    world, proxy
+):
+    for item in world.group.instances.values():
+        item.lag_s = 0.3
+    caller = await world.connect(proxy, "plans")
+    for number in range(10):
+        await caller.query(f"WRITE item {number}")
+        assert (await caller.query("READ item"))[0] == f"ROW {number}"
+
+
+@run_world
+async def test_replicas_serve_bounded_reads(world, proxy):
+    writer = await world.connect(proxy)
+    await writer.query("WRITE item 1")
+    reader = await world.connect(proxy, "stock")
+    for _ in range(10):
+        assert (await reader.query("READ item"))[0] == "ROW 1"
+    replicas = [world.group.instances[name] for name in ("i-1", "i-2")]
+    assert sum(len(item.ran) for item in replicas) > 0
+
+
+@run_world
+async def test_a_lost_answer_to_a_write_is_in_doubt(world, proxy):
+    caller = await world.connect(proxy)
+    await caller.query("READ x")
+    world.group.instances["i-0"].lose_answers = 1
+    assert (await caller.query("WRITE a 1"))[0].startswith("ERROR INDOUBT")
+    assert (await caller.query("READ a"))[0] == "ROW 1"
+
+
+@run_world
+async def test_a_lost_answer_to_a_read_is_asked_again(world, proxy):
+    caller = await world.connect(proxy)
+    await caller.query("WRITE a 1")
+    world.group.instances["i-0"].lose_answers = 1
+    assert (await caller.query("READ a"))[0] == "ROW 1"
+
+
+@run_world
+async def test_a_connection_that_broke_while_idle_costs_no_write(world, proxy):
+    caller = await world.connect(proxy)
+    await caller.query("WRITE a 1")
+    for session in list(world.group.instances["i-0"].sessions):
+        session.cancel()
+    await trio.sleep(0.05)
+    assert is_success(await caller.query("WRITE a 2"))
+
+
+@run_world
+async def test_unknown_keys_and_databases_are_refused(world, proxy):
+    caller = proxies.Caller(proxy.settings.listen.callers)
+    await caller.open()
+    assert (await caller.start("orders", "bad")).startswith("ERROR NOAUTH")
+    assert await caller.read_line() is None
+    await caller.open()
+    assert (await caller.start("nowhere", "key")).startswith("ERROR NODB")
+    assert await caller.read_line() is None
+
+
+@run_world
+async def test_a_withdrawn_key_stops_for_open_sessions(world, proxy):
+    caller = await world.connect(proxy)
+    assert is_success(await caller.query("WRITE a 1"))
+    config = proxies.make_config(2, tenants=[])
+    world.store.put("op/config", config)
+    await trio.sleep(0.1)
+    assert (await caller.query("READ a"))[0].startswith("ERROR NOAUTH")
+
+
+@run_world
+async def test_keys_count_no_longer_than_the_bound_without_news(world, proxy):
+    caller = await world.connect(proxy)
+    world.store.refusal = "silent"
+    bound_s = proxy.node.key_age_s
+    with trio.move_on_after(bound_s + 1.5):
+        while is_success(await caller.query("READ a")):
+            age_s = proxy.node.freshness.get_age(clock.now())
+            assert age_s <= bound_s + 0.2
+            await trio.sleep(0.1)
+    assert (await caller.query("READ a"))[0].startswith("ERROR BUSY")
+
+
+@run_world
+async def test_a_team_above_its_rate_is_refused_and_others_are_not(
+    world, proxy
+):
+    tenants = [
+        {"name": "slow", "apiKeys": ["s"], "ratePerS": 5, "burst": 5},
+        {"name": "team", "apiKeys": ["key"], "ratePerS": 900, "burst": 900},
+    ]
+    world.store.put("op/config", proxies.make_config(2, tenants=tenants))
+    await trio.sleep(2)
+    slow = await world.connect(proxy, key="s")
+    other = await world.connect(proxy)
+    answers = [(await slow.query("READ x"))[-1] for _ in range(30)]
+    served = [line for line in answers if line.startswith("COMPLETE")]
+    assert 1 <= len(served) <= 7
+    assert any("rate limit" in line for line in answers)
+    assert is_success(await other.query("READ x"))
+
+
+@run_world
+async def test_malformed_lines_harm_only_their_sender(world, proxy):
+    caller = await world.connect(proxy)
+    other = await world.connect(proxy)
+    for text in ("NONSENSE", "BEGIN TWICE", "WRITE item", "PREPARE x", "SET"):
+        assert (await caller.query(text))[0].startswith("ERROR MALFORMED")
+    await caller.send("x" * 2_000_000)
+    assert (await caller.read_line()).startswith("ERROR TOOBIG")
+    assert is_success(await other.query("READ x"))
+
+
+@run_world
+async def test_a_target_with_no_connection_left_is_waited_for(world, proxy):
+    """The refusal means not run; a connection is free soon after."""
+    primary = world.group.instances["i-0"]
+    primary.max_connections = 0
+    caller = await world.connect(proxy)
+
+    async def free():
+        await trio.sleep(0.02)
+        primary.max_connections = 20
+
+    world.nursery.start_soon(free)
+    assert is_success(await caller.query("WRITE a 1"))
+
+
+@run_world
+async def test_statements_of_the_proxy_itself_do_not_change_the_rows(
+    world, proxy
+):
+    caller = await world.connect(proxy, "stock")
+    await caller.query("SET a 1")
+    assert (await caller.query_all("BEGIN READ"))[-1] == "READY T -"
+    assert (await caller.query("READ x"))[0] == "ROW none"
+    assert is_success(await caller.query("COMMIT"))
--- /dev/null
+++ b/tests/lib/fleets.py
@@ -0,0 +1,55 @@
+"""Records of a small fleet, for tests of decisions."""
+
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import fleet
+
+
+def make_target(name, group="ledger", **fields):
+    """Return a registered target."""
+    values = {
+        "id": name,
+        "group": group,
+        "address": "127.0.0.1:1",
+        "domain": "north",
+        "slots": 3,
+        "is_draining": False,
+        "warmup_left_s": 0.0,
+        "role": desired.Role.REPLICA,
+        "born_ms": 1,
+    }
+    return desired.Target(**{**values, **fields})
+
+
+def make_route(database="orders", **fields):
+    """Return a route."""
+    values = {
+        "name": database,
+        "database": database,
+        "group": "ledger",
+        "consistency": desired.Consistency.PRIMARY,
+        "timeout_s": 1.0,
+        "objective_s": 0.2,
+        "attempts": 2,
+        "priority": 1,
+        "max_age_s": 1.5,
+        "is_open": False,
+    }
+    return desired.Route(**{**values, **fields})
+
+
+def make_state(version=1, routes=(), teams=None):
+    """Return a desired state of one group and one team."""
+    routes = routes or (make_route(),)
+    return desired.DesiredState(
+        version=version,
+        routes={route.database: route for route in routes},
+        groups={"ledger": desired.GroupPlan("ledger", 20, 0.0, 1)},
+        teams=teams or {"team": desired.Team("team", 100.0, 100.0)},
+        keys={"key": "team"},
+        idle_transaction_s=3.0,
+    )
+
+
+def make_member(vm, boot="boot"):
+    """Return the entry of a VM."""
+    return fleet.Member(vm, "north", "127.0.0.1:1", boot)
--- /dev/null
+++ b/tests/unit/decisions/test_placement.py
@@ -0,0 +1,89 @@
+"""Placement: what a read must see, and where it waits least."""
+
+from geraniumridge._internal.decisions import load
+from geraniumridge._internal.decisions import marks
+from geraniumridge._internal.decisions import placement
+from geraniumridge._internal.decisions import view
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import records
+from lib import fleets
+
+Mark = records.Mark
+
+
+def make_marks(*pairs):
+    kept = marks.Marks()
+    for at, mark in pairs:
+        kept.add(at, mark)
+    return kept
+
+
+def test_without_a_mark_young_enough_nothing_is_proved():
+    kept = make_marks((1.0, Mark(1, 5)))
+    assert placement.find_minimum(kept, None, 0, 2.0) is None
+
+
+def test_a_session_sees_its_own_commit():
+    kept = make_marks((1.0, Mark(1, 5)))
+    own = placement.SessionMark(0, Mark(1, 9))
+    assert placement.find_minimum(kept, own, 0, 0.5) == Mark(1, 9)
+
+
+def test_a_commit_under_an_earlier_lead_is_in_every_later_log():
+    """Its position may count commits that the later lead rolled back."""
+    kept = make_marks((1.0, Mark(1, 5)))
+    own = placement.SessionMark(0, Mark(1, 9))
+    assert placement.find_minimum(kept, own, 2, 0.5) == Mark(1, 5)
+
+
+def make_load(position=0, outstanding=0):
+    known = load.TargetLoad()
+    known.note_position(Mark(1, position), 0.0)
+    for _ in range(outstanding):
+        known.begin(0.0)
+    return known
+
+
+def estimate(known, domain="north", now=0.0, **fields):
+    target = fleets.make_target("a", domain=domain, **fields)
+    return placement.estimate_wait(known, target, Mark(1, 5), "north", now)
+
+
+def test_targets_that_are_near_idle_and_caught_up_go_first():
+    best = estimate(make_load(5))
+    assert best < estimate(make_load(5, outstanding=1))
+    assert best < estimate(make_load(4))
+    assert best < estimate(make_load(5), domain="south")
+    assert best < estimate(make_load(5), role=desired.Role.PRIMARY)
+    assert best == estimate(make_load(4), now=1.0)
+
+
+def test_a_target_that_does_not_answer_goes_last():
+    stalled = estimate(make_load(5, outstanding=1), now=1.0)
+    assert stalled > estimate(make_load(4, outstanding=6), now=0.0)
+
+
+def test_desired_state_rules_targets_out():
+    picture = view.View(lambda key, value: value)
+    target = fleets.make_target("a")
+    regions = {"north": "east"}.get
+    route = fleets.make_route()
+    assert placement.is_eligible(target, route, picture, regions)
+    other = fleets.make_route(group="other")
+    assert not placement.is_eligible(target, other, picture, regions)
+    away = fleets.make_route(regions=frozenset({"west"}))
+    assert not placement.is_eligible(target, away, picture, regions)
+    picture._evacuated.add("north")
+    assert not placement.is_eligible(target, route, picture, regions)
+
+
+def test_failures_make_a_target_rest_and_an_answer_ends_it():
+    known = make_load()
+    known.note_failure(10.0)
+    assert known.is_resting(10.1)
+    assert known.failing_since == 10.0
+    known.note_failure(10.4)
+    assert known.failures == 2
+    assert known.failing_since == 10.0
+    known.note_answer()
+    assert not known.is_resting(10.5)
--- /dev/null
+++ b/tests/unit/decisions/test_primacy.py
@@ -0,0 +1,86 @@
+"""Primacy: who leads, and when that may be relied on."""
+
+import pytest
+
+from geraniumridge._internal.decisions import freshness
+from geraniumridge._internal.decisions import primacy
+from geraniumridge._internal.decisions import view
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import fleet
+from geraniumridge._internal.ports import store
+from lib import fleets
+
+PRIMARY = fleets.make_target("a", role=desired.Role.PRIMARY)
+REPLICA = fleets.make_target("b")
+
+
+class World:
+    """A view, its age and the decision on them."""
+
+    def __init__(self, *items):
+        self.view = view.View(lambda key, value: value)
+        self.freshness = freshness.Freshness()
+        self.primacy = primacy.Primacy(
+            "vm-1", "boot", self.view, self.freshness
+        )
+        self.revision = 0
+        self.take(
+            ("s/a", PRIMARY),
+            ("s/b", REPLICA),
+            (fleet.make_member_key("vm-1"), fleets.make_member("vm-1")),
+            *items,
+        )
+        self.freshness.confirm(0.0)
+
+    def take(self, *pairs):
+        items = []
+        for key, value in pairs:
+            self.revision += 1
+            items.append(store.Item(key, value, self.revision))
+        self.view.apply(0.0, store.Changes(tuple(items), self.revision))
+
+
+def make_lead(target, is_pending=False):
+    lead = fleet.Lead(target, 2, "vm-1/boot", is_pending)
+    return (fleet.make_lead_key("ledger"), lead)
+
+
+def test_without_a_lead_the_only_primary_by_role_leads():
+    assert World().primacy.find_usable("ledger", 1.0) == PRIMARY
+
+
+def test_two_primaries_by_role_lead_nothing():
+    second = fleets.make_target("c", role=desired.Role.PRIMARY)
+    world = World(("s/c", second))
+    assert world.primacy.find_primary("ledger") is None
+
+
+def test_a_lead_goes_before_roles():
+    world = World(make_lead("b"))
+    assert world.primacy.find_usable("ledger", 1.0) == REPLICA
+
+
+def test_nobody_leads_while_a_lead_is_pending():
+    world = World(make_lead("a", is_pending=True))
+    assert world.primacy.find_usable("ledger", 1.0) is None
+
+
+def test_a_lead_without_its_target_leads_nothing():
+    world = World(make_lead("gone"))
+    assert world.primacy.find_primary("ledger") is None
+
+
+def test_evidence_runs_out_with_age():
+    world = World()
+    late = primacy.EVIDENCE_S + 0.01
+    assert world.primacy.has_evidence(primacy.EVIDENCE_S)
+    assert not world.primacy.has_evidence(late)
+    assert world.primacy.find_usable("ledger", late) is None
+
+
+@pytest.mark.parametrize("boot", [None, "other"])
+def test_there_is_no_evidence_without_the_own_entry(boot):
+    world = World()
+    member = boot and fleets.make_member("vm-1", boot)
+    world.take((fleet.make_member_key("vm-1"), member))
+    assert not world.primacy.has_evidence(0.0)
--- /dev/null
+++ b/tests/unit/decisions/test_succession.py
@@ -0,0 +1,119 @@
+"""Succession: whom to wait for, whom to promote."""
+
+import pytest
+
+from geraniumridge._internal.decisions import succession
+from geraniumridge._internal.decisions import view
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import fleet
+from geraniumridge._internal.models import records
+from geraniumridge._internal.ports import store
+from lib import fleets
+
+Mark = records.Mark
+PENDING = 50
+
+
+def make_view(members=("vm-1", "vm-2")):
+    picture = view.View(lambda key, value: value)
+    items = tuple(
+        store.Item(fleet.make_member_key(vm), fleets.make_member(vm), 1)
+        for vm in members
+    )
+    picture.replace(0.0, store.Listing(items, 1))
+    return picture
+
+
+def change(picture, key, value, now, revision):
+    item = store.Item(key, value, revision)
+    picture.apply(now, store.Changes((item,), revision))
+
+
+def release(picture, vm, now, revision, of=PENDING):
+    key = fleet.make_release_key("ledger", vm)
+    change(picture, key, fleet.Release(vm, of), now, revision)
+
+
+def list_awaited(picture, now, marked_at=100.0):
+    return succession.list_awaited(picture, "ledger", PENDING, marked_at, now)
+
+
+def test_every_member_is_awaited_until_it_released():
+    picture = make_view()
+    assert list_awaited(picture, 100.1) == {"vm-1", "vm-2"}
+    release(picture, "vm-1", 100.2, 51)
+    assert list_awaited(picture, 100.2) == {"vm-2"}
+    release(picture, "vm-2", 100.3, 52)
+    assert list_awaited(picture, 100.3) == set()
+
+
+def test_a_release_of_an_earlier_lead_does_not_count():
+    picture = make_view()
+    release(picture, "vm-1", 90.0, 40, of=39)
+    assert "vm-1" in list_awaited(picture, 100.1)
+
+
+def test_silent_members_are_waited_out():
+    picture = make_view()
+    late = 99.9 + succession.WAIT_S
+    assert list_awaited(picture, late)
+    assert list_awaited(picture, late + 0.2) == set()
+
+
+def test_members_that_left_shortly_before_are_awaited():
+    """Their process may live on and rely on what it knew."""
+    picture = make_view()
+    change(picture, fleet.make_member_key("vm-2"), None, 99.0, 45)
+    release(picture, "vm-1", 100.1, 51)
+    assert list_awaited(picture, 100.1) == {"vm-2"}
+
+
+def test_members_that_left_long_before_are_not():
+    picture = make_view()
+    change(picture, fleet.make_member_key("vm-2"), None, 90.0, 45)
+    release(picture, "vm-1", 100.1, 51)
+    assert list_awaited(picture, 100.1) == set()
+
+
+def test_who_may_have_missed_departures_waits_in_full():
+    picture = make_view(())
+    picture.replace(99.0, store.Listing((), 2))
+    assert list_awaited(picture, 100.1) is None
+    assert list_awaited(picture, 100.1 + succession.WAIT_S) == set()
+
+
+def make_replica(name, position, is_eligible=True):
+    status = position and desired.TargetStatus(
+        desired.Role.REPLICA, 1, Mark(1, position), 2, 0.0, 0, 1
+    )
+    return succession.Replica(
+        fleets.make_target(name), status or None, is_eligible
+    )
+
+
+def test_of_all_replicas_the_highest_is_chosen():
+    replicas = [make_replica("a", 5), make_replica("b", 7)]
+    assert succession.choose_successor(replicas, None).target.id == "b"
+
+
+def test_no_one_is_chosen_while_a_replica_is_silent():
+    """It alone may hold the newest acknowledged commit."""
+    replicas = [make_replica("a", 5), make_replica("b", None)]
+    assert succession.choose_successor(replicas, None) is None
+
+
+def test_a_known_bound_makes_silent_replicas_needless():
+    replicas = [make_replica("a", 5), make_replica("b", None)]
+    chosen = succession.choose_successor(replicas, Mark(1, 5))
+    assert chosen.target.id == "a"
+    assert succession.choose_successor(replicas, Mark(1, 6)) is None
+
+
+def test_no_one_is_chosen_while_one_that_leaves_is_ahead():
+    replicas = [make_replica("a", 5), make_replica("b", 7, False)]
+    assert succession.choose_successor(replicas, None) is None
+
+
+@pytest.mark.parametrize("replicas", [[], [make_replica("a", 5, False)]])
+def test_no_one_is_chosen_without_candidates(replicas):
+    assert succession.choose_successor(replicas, None) is None
