--- a/standins/duties.py
+++ b/standins/duties.py
@@ -1,6 +1,7 @@
 """Model of the platform's API for duties of one VM at a time."""
 
 import msgspec
+import trio
 
 from geraniumridge._internal.network import http
 from geraniumridge._internal.network import streams
@@ -35,5 +36,5 @@
         is_done = await group.promote(body["id"])
         if self.lose_answers > 0:
             self.lose_answers -= 1
-            raise ConnectionError("answer lost")
+            raise trio.BrokenResourceError
         return http.Response(200 if is_done else 409, b"{}")
--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -2,10 +2,13 @@
 
 import contextlib
 import functools
+import itertools
+import os
 import socket
 
 import trio
 
+from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import proxy_settings
 from geraniumridge._internal.proxy import daemon
 from geraniumridge._internal.proxy import node
@@ -18,21 +21,39 @@
 from standins import kvstore
 from standins import linegroup
 
+FIRST_PORT = 16_000
+PORTS_PER_WORKER = 1_500
 DOMAINS = ("north", "south", "west")
 
 
-def find_address():
-    """Return a loopback address with a free port."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+def _list_ports():
+    """Yield ports that no other test process uses.
+
+    They lie below those that the system picks for connections.
+    """
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
+    first = FIRST_PORT + int(worker) * PORTS_PER_WORKER
+    yield from itertools.cycle(range(first, first + PORTS_PER_WORKER))
+
 
+_ports = _list_ports()
 
-def find_datagram_port():
-    """Return a port that is free for datagrams."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+
+def find_port():
+    """Return a port that is free for streams and datagrams."""
+    for port in _ports:
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return port
+
+
+def find_address():
+    """Return a loopback address with a free port."""
+    return f"127.0.0.1:{find_port()}"
 
 
 def make_config(version=1, **fields):
@@ -104,7 +125,7 @@
 
     def make_settings(self, name, domain):
         """Return the settings of a proxy."""
-        port = find_datagram_port()
+        port = find_port()
         return proxy_settings.ProxySettings(
             vm=proxy_settings.VmSettings(name, domain, "127.0.0.1"),
             listen=proxy_settings.ListenSettings(
@@ -135,6 +156,18 @@
         return caller
 
 
+class CuttableStore(kv.KvClient):
+    """The store's client of one VM, which can be cut off."""
+
+    is_cut = False
+
+    def __getattribute__(self, name):
+        found = super().__getattribute__(name)
+        if name.startswith("_") or name == "is_cut" or not self.is_cut:
+            return found
+        raise exceptions.PlatformUnavailableError("cut off")
+
+
 class RunningProxy:
     """One proxy and the scope that ends it at once."""
 
@@ -146,9 +179,10 @@
             records.decode_record,
             instances.LineDialect(),
         )
+        self.store = CuttableStore(settings.platform.store)
         self.proxy = daemon.Proxy(
             self.node,
-            kv.KvClient(settings.platform.store),
+            self.store,
             duty_client.DutyClient(settings.platform.duties),
         )
         self.scope = trio.CancelScope()
