--- /dev/null
+++ b/tests/unit/platform/test_lines.py
@@ -0,0 +1,161 @@
+"""The line protocol: framing, statements, answers, any bytes."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import records
+from geraniumridge._internal.models import statements
+from geraniumridge_platform import lines
+
+Verb = statements.Verb
+Outcome = statements.Outcome
+
+
+def read_all(buffer):
+    found = []
+    while (line := buffer.next_line()) is not None:
+        found.append(line)
+    return found
+
+
+@given(
+    st.lists(
+        st.binary(max_size=20).filter(
+            lambda line: b"\r" not in line and b"\n" not in line
+        )
+    ),
+    st.lists(st.integers(1, 7)),
+)
+def test_lines_come_out_whole_however_the_bytes_are_split(sent, sizes):
+    data = b"".join(line + lines.END for line in sent)
+    buffer = lines.LineBuffer()
+    found = []
+    for size in sizes:
+        buffer.feed(data[:size])
+        data = data[size:]
+        found.extend(read_all(buffer))
+    buffer.feed(data)
+    found.extend(read_all(buffer))
+    assert found == sent
+    assert not buffer.has_data
+
+
+def test_a_line_longer_than_a_message_may_be_is_an_error():
+    buffer = lines.LineBuffer()
+    buffer.feed(b"x" * (lines.MAX_LINE + 1))
+    with pytest.raises(exceptions.ProtocolError):
+        buffer.next_line()
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_make_a_statement_or_none(data):
+    found = lines.parse_statement(data)
+    assert found is None or found.text in data
+
+
+@pytest.mark.parametrize(
+    ("text", "verb"),
+    [
+        ("BEGIN", Verb.BEGIN),
+        ("BEGIN READ", Verb.BEGIN),
+        ("COMMIT", Verb.COMMIT),
+        ("ROLLBACK", Verb.ROLLBACK),
+        ("READ 1a4", Verb.READ),
+        ("WRITE 1a4 some data here", Verb.WRITE),
+        ("SET name value", Verb.SET),
+        ("PREPARE s1 READ q2", Verb.PREPARE),
+        ("EXECUTE s1 1a4 data", Verb.EXECUTE),
+        ("DEALLOC s1", Verb.DEALLOCATE),
+    ],
+)
+def test_statements_keep_id_and_text(text, verb):
+    found = lines.parse_statement(f"id-1 {text}".encode())
+    assert (found.id, found.verb) == ("id-1", verb)
+    assert found.text == text.encode()
+
+
+def test_fields_of_statements_are_decoded():
+    prepare = lines.parse_statement(b"i PREPARE s1 WRITE q2 x")
+    assert (prepare.name, prepare.detail) == ("s1", "WRITE q2 x")
+    assert prepare.is_write
+    assert lines.parse_statement(b"i BEGIN READ").is_read_only
+    value = lines.parse_statement(b"i SET zone two words")
+    assert (value.name, value.detail) == ("zone", "two words")
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b"",
+        b"id",
+        b" READ x",
+        b"id NOPE x",
+        b"id BEGIN WRITE",
+        b"id COMMIT now",
+        b"id READ",
+        b"id WRITE item",
+        b"id SET",
+        b"id PREPARE s1",
+        b"id PREPARE s1 NOPE q",
+        b"id PREPARE s1 READ",
+        b"id EXECUTE",
+        b"id \xff\xfe",
+    ],
+)
+def test_malformed_statements_are_none(fields):
+    assert lines.parse_statement(fields) is None
+
+
+def parse_answer(*sent):
+    parser = lines.AnswerParser()
+    for line in sent[:-1]:
+        assert parser.take(line) is None
+    return parser.take(sent[-1])
+
+
+def test_an_answer_of_an_instance_is_collected():
+    answer = parse_answer(
+        b"ROW a b", b"ROW c", b"COMPLETE 7.x", b"READY T 3.9"
+    )
+    assert answer.rows == (b"a b", b"c")
+    assert answer.digest == b"7.x"
+    assert answer.is_success
+    assert answer.state is statements.TransactionState.OPEN
+    assert answer.position == records.Mark(3, 9)
+
+
+@pytest.mark.parametrize(("code", "outcome"), lines.OUTCOMES.items())
+def test_every_code_has_its_outcome(code, outcome):
+    answer = parse_answer(b"ERROR " + code + b" i-1", b"READY E -")
+    assert answer.outcome is outcome
+    assert answer.position is None
+
+
+@given(st.binary(max_size=30))
+def test_any_line_is_taken_or_a_protocol_error(line):
+    try:
+        lines.AnswerParser().take(line)
+    except exceptions.ProtocolError:
+        pass
+
+
+def test_answers_to_callers():
+    answer = statements.Answer(rows=(b"a",), digest=b"d")
+    assert (
+        lines.format_answer(answer) == b"ROW a\r\nCOMPLETE d\r\nREADY I -\r\n"
+    )
+    refused = statements.Answer(
+        outcome=Outcome.OVERLOADED,
+        detail="two\r\nlines",
+        state=statements.TransactionState.FAILED,
+    )
+    expected = b"ERROR BUSY two  lines\r\nREADY E -\r\n"
+    assert lines.format_answer(refused) == expected
+
+
+@given(st.integers(0, 10**9), st.integers(0, 10**9))
+def test_positions_survive_the_wire(term, number):
+    mark = records.Mark(term, number)
+    assert lines.parse_position(lines.format_position(mark)) == mark
--- /dev/null
+++ b/tests/unit/platform/test_records.py
@@ -0,0 +1,96 @@
+"""Entries of the platform's store in product terms."""
+
+import msgspec
+import pytest
+
+from geraniumridge._internal.decisions import view
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import fleet
+from geraniumridge._internal.proxy import membership
+from geraniumridge_platform import records
+from lib import proxies
+
+SERVER = {
+    "service": "ledger",
+    "address": "10.0.0.9:80",
+    "zone": "north",
+    "version": "v1",
+    "capacity": 3,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "dbRole": "replica",
+    "seq": 4,
+    "born": 12,
+}
+
+
+def decode(key, data):
+    return records.decode_record(key, msgspec.json.encode(data))
+
+
+def test_an_instance_becomes_a_target():
+    found = decode("servers/i-1", SERVER)
+    assert found.id == "i-1"
+    assert (found.group, found.domain, found.slots) == ("ledger", "north", 3)
+    assert found.warmup_left_s == 1.5
+    assert found.role is desired.Role.REPLICA
+    assert not found.is_draining
+    assert found.born_ms == 12
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"dbRole": "leader"},
+        {"capacity": "three"},
+        {"address": None},
+        {"service": 4},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(change):
+    assert decode("servers/i-1", {**SERVER, **change}) is None
+
+
+@pytest.mark.parametrize("missing", ["service", "address", "zone", "state"])
+def test_an_entry_with_a_field_missing_names_no_target(missing):
+    data = {key: value for key, value in SERVER.items() if key != missing}
+    assert decode("servers/i-1", data) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\x00", b"[]", b"null", b"{"])
+def test_bytes_that_cannot_be_read_name_nothing(value):
+    assert records.decode_record("servers/i-1", value) is None
+
+
+def test_the_operators_document_becomes_desired_state():
+    found = decode("op/config", proxies.make_config(7))
+    assert found.version == 7
+    assert found.keys == {"key": "team"}
+    route = found.routes["stock"]
+    assert route.consistency is desired.Consistency.BOUNDED
+    assert (route.timeout_s, route.objective_s) == (1.0, 0.4)
+    assert route.max_age_s == 1.5
+    assert found.groups["ledger"].sync_replicas == 1
+    assert found.idle_transaction_s == 0.5
+
+
+def test_evacuations_name_their_domain():
+    assert decode("op/evacuate/north", {}) == view.Evacuation("north")
+
+
+@pytest.mark.parametrize(
+    ("key", "record"),
+    [
+        (fleet.make_lead_key("g"), fleet.Lead("i-1", 2, "vm/boot", True)),
+        (fleet.make_member_key("vm"), fleet.Member("vm", "n", "a", "b")),
+        (fleet.make_release_key("g", "vm"), fleet.Release("vm", 9)),
+    ],
+)
+def test_own_records_survive_the_store(key, record):
+    stored = membership.encode_record(record)
+    assert records.decode_record(key, stored) == record
+
+
+def test_other_keys_mean_nothing():
+    assert decode("elsewhere/x", {"a": 1}) is None
