Pledge rates for silent limiters; mark leads by the decision's revision

Limiters now pledge VMs a rate for that time, and grant until just before their lease ends. - A lead whose entry had lapsed in a cut was replaced at once; it is used on for 2 s and missed for 2 s first. - A dark primary was found after 2.1 s; silence now counts from the oldest unanswered call (0.4 s), then a status call. Ruled out: bounds on commits from releases (restarted VMs know none).

--- a/src/geraniumridge/_internal/decisions/load.py
+++ b/src/geraniumridge/_internal/decisions/load.py
@@ -32,6 +32,7 @@
         self._latency_s = FIRST_LATENCY_S
         self._failures = 0
         self._failing_since = None
+        self._answered_at = -math.inf
         self._retry_at = 0.0
         self._position = records.NO_MARK
         self._position_at = -math.inf
@@ -74,10 +75,11 @@
             self._latency_s += LATENCY_WEIGHT * (
                 now - started - self._latency_s
             )
-            self.note_answer()
+            self.note_answer(now)
 
-    def note_answer(self):
+    def note_answer(self, now):
         """Note that the target answered, with whatever outcome."""
+        self._answered_at = now
         self._failures = 0
         self._failing_since = None
 
@@ -105,6 +107,16 @@
         """Tell whether the target is left alone after a failure."""
         return self._failures > 0 and now < self._retry_at
 
+    def get_silence(self, now):
+        """Return for how long the target has left calls unanswered."""
+        since = self._failing_since
+        if self._started:
+            oldest = min(self._started.values())
+            since = oldest if since is None else min(since, oldest)
+        if since is None:
+            return 0.0
+        return max(0.0, now - max(since, self._answered_at))
+
     def is_stalled(self, now):
         """Tell whether a call has waited for long."""
         return any(
--- a/src/geraniumridge/_internal/decisions/primacy.py
+++ b/src/geraniumridge/_internal/decisions/primacy.py
@@ -49,7 +49,7 @@
         if lead is not None:
             if lead.is_pending:
                 return None
-            return self._view.targets.get(lead.target)
+            return self._find_target(lead.target)
         return self._find_by_role(group)
 
     def find_usable(self, group, now):
@@ -58,6 +58,13 @@
             return None
         return self.find_primary(group)
 
+    def _find_target(self, name):
+        """Return a target, also one that lost its entry shortly ago."""
+        found = self._view.targets.get(name)
+        if found is None:
+            return self._view.find_gone(name, self._freshness.proved_at)
+        return found
+
     def _find_by_role(self, group):
         found = [
             target
--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -23,14 +23,22 @@
 """Life of drawn tokens; what all VMs may hold unspent must fit into
 the tolerance of the limit, a tenth of five seconds' rate."""
 
-OWNER_AGE_S = 2.5
-"""A limiter grants only while its knowledge is at most this old. With
-the time between two renewals it stays below the lease of a member, so
-that a successor never grants at the same time."""
+JOIN_S = 4.0
+"""A VM becomes a limiter only so long after it joined; a limiter whose
+knowledge is younger has seen it by then."""
 
-JOIN_S = 2.5
-"""A VM becomes a limiter only so long after it joined, when every
-former one has seen it."""
+HANDOVER_S = 0.1
+"""How much sooner than it must a limiter stops granting."""
+
+PLEDGED = 0.6
+"""Part of the rate that a limiter pledges to those that draw."""
+
+PLEDGE_AFTER_S = 0.5
+"""A pledge counts so long after the last draw, at both sides."""
+
+PLEDGE_S = 2.5
+"""Life of a pledge. With the time before it, it ends about when a
+silent limiter's lease ends and a successor begins."""
 
 REMEMBER_S = 10.0
 """How long VMs that left count for the even split."""
@@ -76,6 +84,80 @@
         return max(0.0, (1 - self._level) / allowance.rate)
 
 
+class Drawer(typing.NamedTuple):
+    """A VM that draws: its rate, what it was pledged, and when."""
+
+    demand: "Demand"
+    pledge: float
+    drawn_at: float
+
+
+class MasterBucket:
+    """A team's bucket at its limiter.
+
+    Each VM that draws is pledged a rate near its own. Once it has been
+    silent for a while the limiter leaves that rate to it, as it may
+    have lost the way here and serve on by the pledge.
+
+    Parameters
+    ----------
+    now : float
+        Clock time, in seconds.
+    """
+
+    def __init__(self, now):
+        self._bucket = Bucket(now)
+        self._drawers = {}
+
+    def fill(self, allowance, now):
+        """Gain tokens; called often, as pledges come and go."""
+        self._bucket.take(self._reduce(allowance, now), 0, now)
+
+    def draw(self, vm, allowance, wanted, now):
+        """Take up to some tokens for a VM.
+
+        Returns
+        -------
+        tuple of int, float and float
+            Tokens, seconds until there are more, pledged rate.
+        """
+        reduced = self._reduce(allowance, now)
+        taken = self._bucket.take(reduced, wanted, now)
+        pledge = self._pledge(vm, allowance, taken, now)
+        return taken, self._bucket.find_retry(reduced), pledge
+
+    def _reduce(self, allowance, now):
+        pledged = sum(
+            item.pledge
+            for item in self._drawers.values()
+            if is_pledged(item.drawn_at, now)
+        )
+        return allowance._replace(rate=max(0.0, allowance.rate - pledged))
+
+    def _pledge(self, vm, allowance, taken, now):
+        self._forget(now)
+        known = self._drawers.get(vm)
+        demand = known.demand if known else Demand(now)
+        rate = demand.note(now, taken)
+        others = sum(
+            item.pledge for name, item in self._drawers.items() if name != vm
+        )
+        room = max(0.0, PLEDGED * allowance.rate - others)
+        pledge = min(rate, room)
+        self._drawers[vm] = Drawer(demand, pledge, now)
+        return pledge
+
+    def _forget(self, now):
+        for vm, item in list(self._drawers.items()):
+            if now - item.drawn_at > PLEDGE_AFTER_S + PLEDGE_S:
+                del self._drawers[vm]
+
+
+def is_pledged(drawn_at, now):
+    """Tell whether the pledge of a draw counts now."""
+    return PLEDGE_AFTER_S <= now - drawn_at <= PLEDGE_AFTER_S + PLEDGE_S
+
+
 class Stock:
     """Tokens drawn from a limiter, until they expire."""
 
@@ -107,12 +189,12 @@
         self._rate = 0.0
         self._seen_at = now
 
-    def note(self, now):
-        """Count an operation and return the rate."""
+    def note(self, now, count=1):
+        """Count operations and return the rate."""
         elapsed = max(0.0, now - self._seen_at)
         self._seen_at = now
         decay = math.exp(-elapsed / self.WINDOW_S)
-        self._rate = self._rate * decay + 1 / self.WINDOW_S
+        self._rate = self._rate * decay + count / self.WINDOW_S
         return self._rate
 
 
@@ -132,6 +214,22 @@
     return rendezvous.choose_node(f"limiter/{team}", settled or joined)
 
 
+def may_grant(age_s, lease_left_s):
+    """Tell whether a limiter may still grant, whoever else has joined.
+
+    A successor begins when the lease has ended, or `JOIN_S` after it
+    joined.
+
+    Parameters
+    ----------
+    age_s : float
+        Age of the limiter's knowledge, in seconds.
+    lease_left_s : float
+        Least time until its lease ends, in seconds.
+    """
+    return age_s <= JOIN_S - HANDOVER_S and lease_left_s >= HANDOVER_S
+
+
 def count_prepaid(rate):
     """Return how many tokens to draw ahead at a rate a second.
 
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -8,10 +8,13 @@
 }
 
 /** Answers a draw. `is_owner` is false where the VM does not limit the
-    team; `retry_ms` tells when to ask again. */
+    team; `retry_ms` tells when to ask again. `pledge` is the rate, in
+    thousandths of a token per second, that the asker may use for a
+    while if the limiter falls silent. */
 struct Grant {
   1: required i64 number
   2: required bool is_owner
   3: required i32 tokens
   4: required i32 retry_ms
+  5: required i32 pledge
 }
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -17,11 +17,13 @@
 
 logger = logging.getLogger(__name__)
 
-SUSPECT_S = 0.5
-"""How long a primary fails before it is asked for its status."""
+SUSPECT_S = 0.4
+"""How long a primary is silent before it is asked for its status; few
+statements take as long."""
 
-SUSPECT_FAILURES = 2
-"""Failures in a row before it is asked."""
+MISSING_S = 2.0
+"""How long a group may be without a primary; entries that lapsed are
+back by then."""
 
 STUCK_WRITES = 3
 """Writes without an answer after which a primary that answers counts
@@ -48,12 +50,14 @@
     """Why a primary is replaced.
 
     `may_return` tells that the old one may stay if it answers again,
-    `needs_proof` that it has to be asked first.
+    `needs_proof` that it has to be asked first, `is_due` that enough
+    time has passed.
     """
 
     text: str
     may_return: bool = False
     needs_proof: bool = False
+    is_due: bool = True
 
 
 class Failover:
@@ -109,7 +113,7 @@
         since = self._noticed.setdefault(group, now)
         if now - self._settled_at.get(group, now - PAUSE_S) < PAUSE_S:
             return
-        if now - since >= self._get_delay(group):
+        if reason.is_due and now - since >= self._get_delay(group):
             self._active.add(group)
             nursery.start_soon(self._replace, group, reason)
 
@@ -149,7 +153,8 @@
             return None
         primary = self._node.primacy.find_primary(group)
         if primary is None:
-            return Reason("no primary")
+            is_missed = now - self._noticed.get(group, now) >= MISSING_S
+            return Reason("no primary", is_due=is_missed)
         if not self._has_successor(members, primary):
             return None
         if primary.is_draining:
@@ -176,15 +181,15 @@
 
     def _is_suspect(self, primary, now):
         load = self._node.pools.get(primary.id).load
-        if load.failures < SUSPECT_FAILURES:
-            return False
-        return now - load.failing_since >= SUSPECT_S
+        return load.get_silence(now) >= SUSPECT_S
 
     async def _replace(self, group, reason):
+        # Whoever changed the lead since this decision goes before it.
+        decided_on = self._node.view.get_revision(fleet.make_lead_key(group))
         try:
             if reason.needs_proof and await self._answers(group):
                 return
-            if await self._mark(group, reason):
+            if await self._mark(group, reason, decided_on):
                 await replacement.Replacement(
                     self._node,
                     self._store,
@@ -207,10 +212,10 @@
             asked.close()
         if status is None:
             return False
-        self._node.pools.get(primary.id).load.note_answer()
+        self._node.pools.get(primary.id).load.note_answer(clock.now())
         return True
 
-    async def _mark(self, group, reason):
+    async def _mark(self, group, reason, decided_on):
         """Write the pending lead; tells whether this VM holds it."""
         key = fleet.make_lead_key(group)
         known = self._node.view.get_lead(group)
@@ -224,9 +229,8 @@
         )
         lead = fleet.Lead(old, term, holder, True)
         write = store_port.Write(key, membership.encode_record(lead))
-        expected = {key: self._node.view.get_revision(key)}
         try:
-            revision = await self._store.commit(expected, [write])
+            revision = await self._store.commit({key: decided_on}, [write])
         except exceptions.PlatformError as error:
             self._log("lead not marked", group, reason, why=str(error))
             return False
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -1,6 +1,7 @@
 """Takes each operation out of its team's limit over all VMs."""
 
 import logging
+import math
 
 import trio
 
@@ -25,6 +26,9 @@
 
 MAX_RETRY_MS = 1_000
 
+PLEDGE_UNIT = 1_000
+"""Pledges travel in thousandths of a token per second."""
+
 
 class _TeamState:
     """What this VM holds of one team's limit."""
@@ -35,6 +39,23 @@
         self.demand = rates.Demand(now)
         self.turn = trio.Lock()
         self.ask_at = 0.0
+        self.pledge = 0.0
+        self.granted_at = -math.inf
+        self.fallback = rates.Bucket(now)
+
+    def note_grant(self, grant, now):
+        """Take in a limiter's answer to a question of that time."""
+        self.stock.add(grant.tokens, now + rates.GRANT_S)
+        self.pledge = grant.pledge / PLEDGE_UNIT
+        self.granted_at = now
+        self.fallback = rates.Bucket(now + rates.PLEDGE_AFTER_S)
+
+    def take_pledged(self, now):
+        """Take a token that the silent limiter pledged."""
+        if not rates.is_pledged(self.granted_at, now):
+            return False
+        allowance = rates.Allowance(self.pledge, max(1.0, self.pledge))
+        return self.fallback.take(allowance, 1, now) > 0
 
 
 class Limits:
@@ -80,6 +101,8 @@
         share = rates.RESERVE / self._count_members(now)
         if state.reserve.take(allowance.scale(share), 1, now):
             return True
+        if state.take_pledged(now):
+            return True
         if now < state.ask_at:
             return False
         async with state.turn:
@@ -94,12 +117,14 @@
         if state is None:
             return
         now = clock.now()
-        for team in state.teams:
+        for team, plan in state.teams.items():
             self._get_team(team, now)
             if not self._is_limiter(team, now):
                 self._masters.pop(team, None)
-            elif team not in self._masters:
-                self._masters[team] = rates.Bucket(now)
+                continue
+            if team not in self._masters:
+                self._masters[team] = rates.MasterBucket(now)
+            self._masters[team].fill(_get_drawn(plan), now)
         for known in (self._teams, self._masters):
             for team in known.keys() - state.teams.keys():
                 del known[team]
@@ -119,9 +144,12 @@
         wanted = 1 + rates.count_prepaid(rate)
         grant = await self._ask(team, wanted)
         if grant is None:
+            state.ask_at = clock.now() + SILENT_S
+            return state.take_pledged(clock.now())
+        state.note_grant(grant, now)
+        if not grant.is_owner:
             state.ask_at = clock.now() + SILENT_S
             return False
-        state.stock.add(grant.tokens, now + rates.GRANT_S)
         if grant.tokens < wanted:
             pause_s = max(MIN_RETRY_S, grant.retry_ms / 1000)
             state.ask_at = clock.now() + pause_s
@@ -134,12 +162,12 @@
         if owner is None:
             return None
         if owner == self._node.settings.vm.name:
-            return self._grant(0, team, wanted)
+            return self._grant(0, team, wanted, owner)
         address = streams.split_address(self._node.view.members[owner].address)
         for _ in range(TRIES):
             grant = await self._ask_once(team, wanted, address)
             if grant is not None:
-                return grant if grant.is_owner else None
+                return grant
         logger.info(
             "limiter silent",
             extra={"event": "limiter_silent", "team": team, "owner": owner},
@@ -171,37 +199,39 @@
             waiting[0].set()
 
     async def _answer_draw(self, message, sender):
-        grant = self._grant(message.number, message.team, message.wanted)
+        grant = self._grant(
+            message.number, message.team, message.wanted, sender
+        )
         await self._peers.send(grant, sender)
 
-    def _grant(self, number, team, wanted):
+    def _grant(self, number, team, wanted, drawer):
         """Hand out tokens if this VM limits the team."""
         now = clock.now()
         plan = self._node.view.state
         found = plan.teams.get(team) if plan else None
         if found is None or not self._is_limiter(team, now):
             return datagrams.messages.Grant(
-                number=number, is_owner=False, tokens=0, retry_ms=0
+                number=number, is_owner=False, tokens=0, retry_ms=0, pledge=0
             )
         master = self._masters.get(team)
         if master is None:
-            master = self._masters[team] = rates.Bucket(now)
-        allowance = rates.Allowance(found.rate_per_s, found.burst).scale(
-            rates.DRAWN
-        )
-        tokens = master.take(allowance, wanted, now)
-        retry_ms = min(MAX_RETRY_MS, master.find_retry(allowance) * 1000)
+            master = self._masters[team] = rates.MasterBucket(now)
+        allowance = _get_drawn(found)
+        tokens, retry_s, pledge = master.draw(drawer, allowance, wanted, now)
+        retry_ms = min(MAX_RETRY_MS, retry_s * 1000)
         return datagrams.messages.Grant(
             number=number,
             is_owner=True,
             tokens=tokens,
             retry_ms=int(retry_ms),
+            pledge=int(pledge * PLEDGE_UNIT),
         )
 
     def _is_limiter(self, team, now):
         if not self._node.primacy.is_member():
             return False
-        if not self._node.freshness.is_within(now, rates.OWNER_AGE_S):
+        age_s = self._node.freshness.get_age(now)
+        if not rates.may_grant(age_s, self._node.lease_until - now):
             return False
         owner = rates.find_limiter(team, self._node.view.joined, now)
         return owner == self._node.settings.vm.name
@@ -210,3 +240,9 @@
         view = self._node.view
         departed = view.list_departures(now, rates.REMEMBER_S)
         return max(1, len(view.members) + len(departed))
+
+
+def _get_drawn(team):
+    """Return the part of a team's limit that is drawn."""
+    allowance = rates.Allowance(team.rate_per_s, team.burst)
+    return allowance.scale(rates.DRAWN)
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -8,6 +8,7 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
+from geraniumridge._internal.utils import clock
 from geraniumridge._internal.utils import decode
 
 logger = logging.getLogger(__name__)
@@ -72,10 +73,13 @@
                 )
 
     async def _keep(self):
+        sent_at = clock.now()
         if self._lease:
             await self._store.renew_lease(self._lease)
         else:
             self._lease = await self._store.open_lease(LEASE_S)
+        # The lease runs from the arrival of the call, not before.
+        self._node.lease_until = sent_at + LEASE_S
         if not self._is_registered():
             await self._register()
 
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -1,5 +1,7 @@
 """What the parts of the statement path share on one VM."""
 
+import math
+
 from geraniumridge._internal.decisions import freshness
 from geraniumridge._internal.decisions import marks
 from geraniumridge._internal.decisions import primacy
@@ -38,6 +40,7 @@
         )
         self.pools = pool.Pools(dialect)
         self.limits = None
+        self.lease_until = -math.inf
         self._marks = {}
         self._guards = {}
 
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -152,7 +152,7 @@
         try:
             link = await self._dialect.open(target, team, CONNECT_TIMEOUT_S)
         except exceptions.TargetRefusedError as error:
-            self.load.note_answer()
+            self.load.note_answer(clock.now())
             if error.outcome is statements.Outcome.TOO_MANY_CONNECTIONS:
                 await trio.sleep(LIMIT_PAUSE_S)
             raise exceptions.NotSentError(str(error))
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -79,11 +79,15 @@
 
     def _is_holder(self):
         """Tell whether this VM may still act."""
-        if self._node.view.get_revision(self._key) != self._revision:
+        if self._is_overtaken():
             return False
         now = clock.now()
         return self._node.freshness.is_within(now, succession.HOLDER_S)
 
+    def _is_overtaken(self):
+        """Tell whether another VM has changed the lead."""
+        return self._node.view.get_revision(self._key) != self._revision
+
     async def _wait_released(self):
         while True:
             now = clock.now()
@@ -96,6 +100,8 @@
             )
             if awaited is not None and not awaited:
                 break
+            if self._is_overtaken():
+                return
             await trio.sleep(POLL_S)
         self._log("lead released", waited_s=round(now - self._marked_at, 3))
 
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -70,6 +70,14 @@
             return None
         return msgspec.json.decode(base64.b64decode(item["value"]))
 
+    def list_values(self, key):
+        """Return all values that a key had, oldest first."""
+        return [
+            msgspec.json.decode(base64.b64decode(event["value"]))
+            for event in self._history
+            if event["key"] == key and "value" in event
+        ]
+
     def compact(self):
         """Drop the history and cut all waiting watches."""
         self._history.clear()
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -224,3 +224,47 @@
             assert world.group.instances["i-0"].data == {"a": "1"}
 
     trio.run(main)
+
+
+def test_a_lead_that_another_vm_marked_is_not_marked_over():
+    """Two VMs see the primary fail; one replaces it, once."""
+
+    async def main():
+        async with proxies.open_world() as world:
+            members = [await world.add_proxy(f"vm-{n}") for n in range(2)]
+            callers = [await world.connect(item) for item in members]
+            await settle(world)
+            world.group.instances["i-0"].crash()
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(write_until_kept, caller, "after")
+            assert len(world.duties.orders) == 1
+            marks = [
+                value["holder"]
+                for value in world.store.list_values(LEAD_KEY)
+                if value["is_pending"]
+            ]
+            assert len(marks) == 1
+
+    trio.run(main)
+
+
+@run_world
+async def test_a_primary_that_only_lost_its_entry_serves_on(world, proxy):
+    caller = await world.connect(proxy)
+    await settle(world)
+    first = world.group.instances["i-0"]
+    world.register(first, state="draining")
+    await proxies.wait_until(
+        lambda: not (world.store.get(LEAD_KEY) or {"is_pending": True})[
+            "is_pending"
+        ]
+    )
+    led = world.group.instances[world.store.get(LEAD_KEY)["target"]]
+    world.store.delete(f"servers/{led.name}")
+    await trio.sleep(0.3)
+    assert is_success(await caller.query("WRITE a 1"))
+    world.register(led)
+    await trio.sleep(2.5)
+    assert is_success(await caller.query("WRITE a 2"))
+    assert len(world.duties.orders) == 1
