--- a/src/geraniumridge/_internal/cli/tool.py
+++ b/src/geraniumridge/_internal/cli/tool.py
@@ -6,6 +6,7 @@
 import cappa
 
 from geraniumridge._internal.commands import base
+from geraniumridge._internal.commands import explain
 from geraniumridge._internal.commands import keys
 from geraniumridge._internal.commands import reports
 from geraniumridge._internal.commands import service
@@ -22,6 +23,7 @@
     | service.Domains
     | service.Targets
     | service.Failover
+    | explain.Explain
 )
 
 
--- /dev/null
+++ b/src/geraniumridge/_internal/commands/explain.py
@@ -0,0 +1,48 @@
+"""Command that tells what decided one request."""
+
+import contextlib
+import dataclasses
+
+import cappa
+
+from geraniumridge._internal.commands import base
+from geraniumridge._internal.utils import stories
+
+
+@cappa.command(name="explain", help="Tell from logs what decided a request.")
+@dataclasses.dataclass
+class Explain:
+    """Story of a request: its lines and the beliefs behind them."""
+
+    request: str
+    files: list[str]
+
+    def run(self, options):
+        """Print the story in the order of time."""
+        with contextlib.ExitStack() as stack:
+            try:
+                opened = [
+                    stack.enter_context(
+                        open(name, encoding="utf-8", errors="replace")
+                    )
+                    for name in self.files
+                ]
+            except OSError as error:
+                raise base.fail(str(error), base.EXIT_BAD_INPUT)
+            story = stories.find_story(
+                stories.read_lines(opened), self.request
+            )
+        if not story:
+            raise base.fail(
+                f"{self.request}: not in these logs; ask for the logs of"
+                " every VM, and note that floods are logged in part"
+            )
+        rows = [
+            [line.at, line.vm, line.event, _format_fields(line.fields)]
+            for line in story
+        ]
+        base.print_rows(options, ["time", "vm", "event", "with"], rows)
+
+
+def _format_fields(fields):
+    return " ".join(f"{key}={value}" for key, value in fields.items())
--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -24,14 +24,15 @@
 class ListenSettings(typing.NamedTuple):
     """Addresses that the daemon listens on.
 
-    `ready` answers the probe for readiness. Peers, metrics and the
-    operators' pages use the ports from `first_peer_port` on.
+    `ready` answers the probe for readiness, `metrics` serves the
+    metrics. Peers use the ports from `first_peer_port` on.
     """
 
     callers: settings.Address
     ready: settings.Address
     first_peer_port: Port
     last_peer_port: Port
+    metrics: settings.Address | None = None
 
 
 class PlatformSettings(typing.NamedTuple):
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -8,6 +8,7 @@
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.proxy import guard
 from geraniumridge._internal.proxy import pool
+from geraniumridge._internal.utils import measures
 
 KEY_MARGIN_S = 1.0
 """How much sooner than they must keys stop counting without news."""
@@ -39,6 +40,7 @@
             settings.vm.name, boot, self.view, self.freshness
         )
         self.pools = pool.Pools(dialect)
+        self.measures = measures.Measures()
         self.limits = None
         self.lease_until = -math.inf
         self._marks = {}
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/pages.py
@@ -0,0 +1,54 @@
+"""Pages of one VM for operators and monitoring."""
+
+from geraniumridge._internal.network import http
+from geraniumridge._internal.network import streams
+from geraniumridge._internal.utils import clock
+
+METRICS_PATH = "/metrics"
+UNKNOWN_AGE_S = 1e9
+"""Age shown while nothing is known."""
+
+
+class Pages:
+    """Serves the metrics.
+
+    Parameters
+    ----------
+    node : proxy.node.Node
+        State of the VM.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    async def start(self, nursery, address):
+        """Listen on ``IP:port``."""
+        await streams.serve(nursery, address, self._serve)
+
+    async def _serve(self, stream):
+        await http.ServerConnection(stream, self._answer).run()
+
+    async def _answer(self, request):
+        if request.path != METRICS_PATH:
+            return http.Response(404, b"")
+        self._set_gauges()
+        text = self._node.measures.format_text()
+        return http.Response(
+            200, text.encode(), content_type="text/plain; version=0.0.4"
+        )
+
+    def _set_gauges(self):
+        node = self._node
+        gauges = {
+            "knowledge_age_seconds": min(
+                UNKNOWN_AGE_S, node.freshness.get_age(clock.now())
+            ),
+            "store_revision": node.view.revision,
+            "members": len(node.view.members),
+            "targets": len(node.view.targets),
+            "target_connections": node.pools.size,
+        }
+        if node.view.state is not None:
+            gauges["desired_version"] = node.view.state.version
+        for name, value in gauges.items():
+            node.measures.set_gauge(name, value)
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -184,6 +184,11 @@
         self._dialect = dialect
         self._pools = {}
 
+    @property
+    def size(self):
+        """Connections to all targets."""
+        return sum(pool.size for pool in self._pools.values())
+
     def get(self, target_id):
         """Return the pool of a target."""
         pool = self._pools.get(target_id)
--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -87,17 +87,27 @@
 
     async def execute(self, statement):
         """Run one statement and return its `statements.Answer`."""
+        began_at = clock.now()
         ending = (Verb.ROLLBACK, Verb.COMMIT)
         if self._has_failed and statement.verb not in ending:
             answer = refuse(Outcome.MALFORMED, "the transaction has failed")
         else:
             answer = await VERBS.get(statement.verb)(self, statement)
-        self._log(statement, answer)
+        self._report(statement, answer, clock.now() - began_at)
         return answer._replace(state=self.state)
 
-    def _log(self, statement, answer):
+    def _report(self, statement, answer, took_s):
+        """Count, measure and log a statement's end."""
         if answer.is_success and answer.digest is None:
             return
+        measures = self._node.measures
+        team = self._admission.team or admission.NO_TEAM
+        if answer.is_success:
+            measures.count("served")
+            measures.record(team, statement.verb.value, took_s)
+        else:
+            reason = answer.outcome.value.replace(" ", "_")
+            measures.count(f"refused:{reason}")
         logger.info(
             "statement",
             extra={
@@ -105,9 +115,10 @@
                 "request": statement.id,
                 "verb": statement.verb.value,
                 "database": self._admission.database,
-                "team": self._admission.team,
+                "team": team,
                 "outcome": answer.outcome and answer.outcome.value,
                 "why": answer.detail,
+                "took_ms": round(took_s * 1000, 1),
                 "age_s": round(self._node.freshness.get_age(clock.now()), 2),
                 "version": self._node.view.state.version,
             },
--- /dev/null
+++ b/tests/functional/test_proxy_process.py
@@ -0,0 +1,284 @@
+"""The proxy as a process: start, signals, logs, explanations."""
+
+import contextlib
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+
+import pytest
+import trio
+
+from geraniumridge._internal.network import http
+from geraniumridge._internal.proxy import failover
+from lib import proxies
+from lib.proxies import is_success
+
+ROOT = pathlib.Path(__file__).parents[2]
+RUN = ROOT / "platform" / "run.py"
+SETTINGS = """
+[vm]
+name = "vm-1"
+domain = "north"
+ip = "127.0.0.1"
+[listen]
+callers = "{callers}"
+ready = "{ready}"
+metrics = "{metrics}"
+first_peer_port = {port}
+last_peer_port = {port}
+[platform]
+store = "{store}"
+duties = "{duties}"
+[bounds]
+stop_grace_s = 3.0
+"""
+
+
+class ProxyProcess:
+    """One proxy process with its settings and log."""
+
+    def __init__(self, world, folder):
+        settings = world.make_settings("vm-1", "north")
+        self.listen = settings.listen._replace(metrics=proxies.find_address())
+        self.path = folder / "settings.toml"
+        self.path.write_text(
+            SETTINGS.format(
+                callers=self.listen.callers,
+                ready=self.listen.ready,
+                metrics=self.listen.metrics,
+                port=self.listen.first_peer_port,
+                **settings.platform._asdict(),
+            )
+        )
+        self.log = folder / "log"
+        with open(self.log, "wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, str(RUN)],
+                env={**os.environ, "GERANIUMRIDGE_BOOT": str(self.path)},
+                stdout=output,
+            )
+
+    async def fetch(self, address, path):
+        """Return status and body of a page."""
+        response = await http.fetch(address, "GET", path)
+        return response.status, response.body.decode()
+
+    async def wait_ready(self):
+        """Wait until the probe says ready."""
+        with trio.fail_after(10):
+            while True:
+                with contextlib.suppress(Exception):
+                    status, _ = await self.fetch(self.listen.ready, "/-/ready")
+                    if status == 200:
+                        return await trio.sleep(0.3)
+                await trio.sleep(0.05)
+
+    async def connect(self, database="orders"):
+        """Return a caller with a session."""
+        caller = proxies.Caller(self.listen.callers)
+        await caller.open()
+        assert await caller.start(database, "key") == "READY I -"
+        return caller
+
+    def explain(self, request):
+        """Run the operators' command and return what it prints."""
+        tool = pathlib.Path(sys.executable).with_name("geraniumridge")
+        command = [tool, "--json", "explain", request, self.log]
+        done = subprocess.run(command, capture_output=True, text=True)
+        assert done.returncode == 0, done.stderr
+        return done.stdout
+
+    def end(self):
+        """End the process, whatever it does."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
+def run_process(test, folder):
+    """Run an async test with one proxy process in a world."""
+
+    async def main():
+        async with proxies.open_world() as world:
+            process = ProxyProcess(world, folder)
+            try:
+                await process.wait_ready()
+                await test(world, process)
+            finally:
+                process.end()
+
+    trio.run(main)
+
+
+async def wait_exit(process, timeout_s):
+    with trio.fail_after(timeout_s):
+        while process.process.poll() is None:
+            await trio.sleep(0.02)
+    return process.process.returncode
+
+
+def test_a_planned_stop_lets_a_transaction_end(tmp_path):
+    async def test(world, process):
+        idle = await process.connect()
+        caller = await process.connect()
+        await caller.query("BEGIN")
+        assert is_success(await caller.query("WRITE a 1"))
+        process.process.send_signal(signal.SIGTERM)
+        await trio.sleep(0.2)
+        assert await idle.read_line() is None
+        status, _ = await process.fetch(process.listen.ready, "/-/ready")
+        assert status == 503
+        assert is_success(await caller.query("COMMIT"))
+        assert await caller.read_line() is None
+        assert await wait_exit(process, 4) == 0
+        assert world.group.instances["i-0"].data == {"a": "1"}
+        assert not [k for k in world.store.items if "/members/" in k]
+
+    run_process(test, tmp_path)
+
+
+def test_a_transaction_that_never_ends_does_not_hold_the_stop(tmp_path):
+    async def test(world, process):
+        caller = await process.connect()
+        await caller.query("BEGIN")
+        await caller.query("WRITE a 1")
+        process.process.send_signal(signal.SIGTERM)
+        assert await wait_exit(process, 3.5) == 0
+        assert not world.group.instances["i-0"].data
+
+    run_process(test, tmp_path)
+
+
+def test_sighup_cuts_nothing(tmp_path):
+    async def test(world, process):
+        caller = await process.connect()
+        await caller.query("BEGIN")
+        process.process.send_signal(signal.SIGHUP)
+        await trio.sleep(0.2)
+        assert is_success(await caller.query("WRITE a 1"))
+        assert is_success(await caller.query("COMMIT"))
+        assert '"event": "reload"' in process.log.read_text()
+
+    run_process(test, tmp_path)
+
+
+def test_a_killed_process_comes_back_and_serves(tmp_path):
+    async def test(world, process):
+        caller = await process.connect()
+        assert is_success(await caller.query("WRITE a 1"))
+        process.process.kill()
+        process.process.wait()
+        again = ProxyProcess(world, tmp_path)
+        try:
+            await again.wait_ready()
+            caller = await again.connect()
+            assert (await caller.query("READ a"))[0] == "ROW 1"
+        finally:
+            again.end()
+
+    run_process(test, tmp_path)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [("[vm]", "[vm", "not valid TOML"), ('domain = "north"', "", "vm.domain")],
+)
+def test_bad_settings_are_named_and_end_the_start(tmp_path, old, new, named):
+    path = tmp_path / "settings.toml"
+    address = "127.0.0.1:1"
+    text = SETTINGS.format(
+        callers=address,
+        ready=address,
+        metrics=address,
+        port=1,
+        store=address,
+        duties=address,
+    )
+    path.write_text(text.replace(old, new))
+    done = subprocess.run(
+        [sys.executable, str(RUN)],
+        env={**os.environ, "GERANIUMRIDGE_BOOT": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=20,
+    )
+    assert done.returncode == 2
+    assert str(path) in done.stderr and named in done.stderr
+
+
+def test_no_key_is_in_logs_or_metrics(tmp_path):
+    async def test(world, process):
+        caller = await process.connect()
+        await caller.query("WRITE a 1")
+        bad = proxies.Caller(process.listen.callers)
+        await bad.open()
+        await bad.start("orders", "very-secret-key")
+        _, text = await process.fetch(process.listen.metrics, "/metrics")
+        assert "geraniumridge_served_total 1" in text
+        log = process.log.read_text()
+        assert "very-secret-key" not in log + text
+        assert not re.search(r'"key": ?"key"', log)
+
+    run_process(test, tmp_path)
+
+
+def get_refused(process):
+    """Return the id of the last request that was refused."""
+    lines = process.log.read_text().splitlines()
+    refused = [line for line in lines if '"event": "refused"' in line]
+    return re.search(r'"request": "([^"]+)"', refused[-1])[1]
+
+
+def test_explain_a_refusal_of_a_vm_cut_off_from_the_store(tmp_path):
+    async def test(world, process):
+        caller = await process.connect()
+        assert is_success(await caller.query("READ a"))
+        world.store.refusal = "busy"
+        with trio.fail_after(8):
+            while is_success(await caller.query("READ a")):
+                await trio.sleep(0.1)
+        await trio.sleep(1.5)
+        assert not is_success(await caller.query("READ a"))
+        story = process.explain(get_refused(process))
+        assert "store_lost" in story
+        assert "cannot check keys, knowledge is" in story
+
+    run_process(test, tmp_path)
+
+
+def test_explain_a_write_in_doubt_over_a_change_of_primary(tmp_path):
+    async def test(world, process):
+        caller = await process.connect()
+        await trio.sleep(failover.SETTLE_S)
+        first = world.group.instances["i-0"]
+        first.work_s = 5.0
+
+        async def leave():
+            await trio.sleep(0.3)
+            world.register(first, state="draining")
+
+        world.nursery.start_soon(leave)
+        lines = await caller.query("WRITE a 1")
+        assert lines[0].startswith("ERROR INDOUBT")
+        story = process.explain(get_refused(process))
+        assert "primary_given_up" in story
+        assert "lead_marked" in story and "draining" in story
+
+    run_process(test, tmp_path)
+
+
+def test_explain_a_read_that_every_target_was_too_far_behind_for(tmp_path):
+    async def test(world, process):
+        caller = await process.connect("plans")
+        assert is_success(await caller.query("WRITE a 1"))
+        for item in world.group.instances.values():
+            item.refuse_reads = "LAGGING"
+        lines = await caller.query("READ a")
+        assert lines[0].startswith("ERROR BUSY")
+        story = process.explain(get_refused(process))
+        assert "behind" in story
+
+    run_process(test, tmp_path)
--- a/tests/unit/models/test_proxy_settings.py
+++ b/tests/unit/models/test_proxy_settings.py
@@ -66,6 +66,7 @@
         "node|json": '"vm-1"',
         "zone|json": '"north"',
         "ip|json": '"10.0.0.1"',
+        "ip": "10.0.0.1",
         "internalPorts.0": "7000",
         "internalPorts.1": "7010",
         "bounds.graceS": "6",
