--- a/src/geraniumridge/_internal/decisions/load.py
+++ b/src/geraniumridge/_internal/decisions/load.py
@@ -19,6 +19,9 @@
 POSITION_S = 0.1
 """How long a position tells that a target is behind; it catches up."""
 
+TRY_S = 0.5
+"""How long a try of a failing target may take."""
+
 STALLED_S = 0.25
 """Age of an unanswered call that counts against its target."""
 
@@ -91,6 +94,11 @@
         pause = min(MAX_RETRY_S, RETRY_S * 2 ** (self._failures - 1))
         self._retry_at = now + pause
 
+    def note_try(self, now):
+        """Note a try of a failing target; others wait for its end."""
+        if self._failures > 0:
+            self._retry_at = max(self._retry_at, now + TRY_S)
+
     def note_position(self, position, now):
         """Note a log position that the target showed."""
         if position is not None:
--- a/src/geraniumridge/_internal/decisions/placement.py
+++ b/src/geraniumridge/_internal/decisions/placement.py
@@ -16,7 +16,11 @@
 """Latency added for a target that lately had not reached the position;
 about the cost of being refused there."""
 
-PRIMARY_S = 0.015
+CONNECT_S = 0.015
+"""Latency added where a connection has to be opened; it also takes a
+slot of the target for as long."""
+
+PRIMARY_S = 0.025
 """Latency added for a primary, whose slots only it can use for
 writes."""
 
@@ -87,7 +91,7 @@
     return not route.regions or regions(target.domain) in route.regions
 
 
-def estimate_wait(load, target, minimum, own_domain, now):
+def estimate_wait(load, target, minimum, own_domain, now, is_open=True):
     """Return what a read may take at a target, in seconds.
 
     Parameters
@@ -102,6 +106,8 @@
         Failure domain of the VM.
     now : float
         Clock time, in seconds.
+    is_open : bool
+        Whether a connection is at hand.
     """
     busy = load.outstanding / max(1, target.slots)
     wait = load.latency_s * (1 + busy)
@@ -111,6 +117,8 @@
         wait += BEHIND_S
     if target.role is desired.Role.PRIMARY:
         wait += PRIMARY_S
+    if not is_open:
+        wait += CONNECT_S
     if load.is_stalled(now):
         wait += STALLED_S
     return wait
--- a/src/geraniumridge/_internal/decisions/primacy.py
+++ b/src/geraniumridge/_internal/decisions/primacy.py
@@ -2,10 +2,10 @@
 
 from geraniumridge._internal.models import desired
 
-EVIDENCE_S = 3.0
+EVIDENCE_S = 4.5
 """Age up to which knowledge of the store shows that no replacement of
 a primary has begun; whoever replaces one waits this long for silent
-VMs. The shortest outages of the store should fit in."""
+VMs. Short outages of the store fit in."""
 
 CLOCK_MARGIN_S = 0.2
 """Added to waits for others' evidence, for scheduling delays."""
@@ -24,9 +24,13 @@
         The picture of the store.
     freshness : decisions.freshness.Freshness
         Age of the picture.
+    gone_s : float
+        How long a primary is used on after its entry vanished, in
+        seconds; it may only have lost the store.
     """
 
-    def __init__(self, vm, boot, view, freshness):
+    def __init__(self, vm, boot, view, freshness, gone_s):
+        self._gone_s = gone_s
         self._vm = vm
         self._boot = boot
         self._view = view
@@ -62,7 +66,9 @@
         """Return a target, also one that lost its entry shortly ago."""
         found = self._view.targets.get(name)
         if found is None:
-            return self._view.find_gone(name, self._freshness.proved_at)
+            return self._view.find_gone(
+                name, self._freshness.proved_at, self._gone_s
+            )
         return found
 
     def _find_by_role(self, group):
--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -33,12 +33,23 @@
 PLEDGED = 0.6
 """Part of the rate that a limiter pledges to those that draw."""
 
+DRAWER_WINDOW_S = 3.0
+"""Time over which a limiter averages what a VM draws."""
+
 PLEDGE_AFTER_S = 0.5
 """A pledge counts so long after the last draw, at both sides."""
 
 PLEDGE_S = 2.5
-"""Life of a pledge. With the time before it, it ends about when a
-silent limiter's lease ends and a successor begins."""
+"""Life of a pledge for a VM without news of the limiter. With the time
+before it, it ends about when a silent limiter's lease ends and a
+successor begins."""
+
+LONG_PLEDGE_S = 12.0
+"""Life of a pledge for a VM that sees the limiter still registered."""
+
+NEWS_S = 2.2
+"""Age up to which knowledge counts as such news; a watch and its
+answer take less."""
 
 REMEMBER_S = 10.0
 """How long VMs that left count for the even split."""
@@ -130,14 +141,14 @@
         pledged = sum(
             item.pledge
             for item in self._drawers.values()
-            if is_pledged(item.drawn_at, now)
+            if is_pledged(item.drawn_at, now, LONG_PLEDGE_S)
         )
         return allowance._replace(rate=max(0.0, allowance.rate - pledged))
 
     def _pledge(self, vm, allowance, taken, now):
         self._forget(now)
         known = self._drawers.get(vm)
-        demand = known.demand if known else Demand(now)
+        demand = known.demand if known else Demand(now, DRAWER_WINDOW_S)
         rate = demand.note(now, taken)
         others = sum(
             item.pledge for name, item in self._drawers.items() if name != vm
@@ -149,13 +160,13 @@
 
     def _forget(self, now):
         for vm, item in list(self._drawers.items()):
-            if now - item.drawn_at > PLEDGE_AFTER_S + PLEDGE_S:
+            if now - item.drawn_at > PLEDGE_AFTER_S + LONG_PLEDGE_S:
                 del self._drawers[vm]
 
 
-def is_pledged(drawn_at, now):
+def is_pledged(drawn_at, now, life_s=PLEDGE_S):
     """Tell whether the pledge of a draw counts now."""
-    return PLEDGE_AFTER_S <= now - drawn_at <= PLEDGE_AFTER_S + PLEDGE_S
+    return PLEDGE_AFTER_S <= now - drawn_at <= PLEDGE_AFTER_S + life_s
 
 
 class Stock:
@@ -181,11 +192,18 @@
 
 
 class Demand:
-    """Operations a second that a VM sees of a team."""
+    """Operations a second, as a moving average.
 
-    WINDOW_S = 1.0
+    Parameters
+    ----------
+    now : float
+        Clock time, in seconds.
+    window_s : float
+        Time over which older operations fade, in seconds.
+    """
 
-    def __init__(self, now):
+    def __init__(self, now, window_s):
+        self._window_s = window_s
         self._rate = 0.0
         self._seen_at = now
 
@@ -193,8 +211,8 @@
         """Count operations and return the rate."""
         elapsed = max(0.0, now - self._seen_at)
         self._seen_at = now
-        decay = math.exp(-elapsed / self.WINDOW_S)
-        self._rate = self._rate * decay + count / self.WINDOW_S
+        decay = math.exp(-elapsed / self._window_s)
+        self._rate = self._rate * decay + count / self._window_s
         return self._rate
 
 
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -10,11 +10,6 @@
 from the platform's description of service discovery."""
 
 
-GONE_USE_S = 2.0
-"""How long a primary is used on after its entry vanished; it may only
-have lost the store. Well below the bound on gone targets."""
-
-
 class Evacuation(typing.NamedTuple):
     """Operators' order to send nothing to a failure domain."""
 
@@ -117,10 +112,10 @@
         """Return the registered targets of a group."""
         return [item for item in self._targets.values() if item.group == group]
 
-    def find_gone(self, name, now):
+    def find_gone(self, name, now, within_s):
         """Return a target whose entry vanished shortly ago, or None."""
         item = self._gone_targets.get(name)
-        if item is None or now - item.seen_at > GONE_USE_S:
+        if item is None or now - item.seen_at > within_s:
             return None
         return item.target
 
--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -45,13 +45,15 @@
 class BoundSettings(typing.NamedTuple):
     """Bounds that the users set.
 
-    `stop_grace_s` is the time to stop in, in seconds, `withdrawal_ms`
-    the time after which a withdrawn key must not work, in
-    milliseconds.
+    `stop_grace_s` is the time to stop in, in seconds. `withdrawal_ms`
+    is the time after which a withdrawn key must not work,
+    `departure_ms` that after which a target that left must get
+    nothing, both in milliseconds.
     """
 
     stop_grace_s: settings.Seconds = 6.0
     withdrawal_ms: settings.Seconds = 5_000.0
+    departure_ms: settings.Seconds = 7_000.0
 
 
 class LogSettings(typing.NamedTuple):
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -80,6 +80,7 @@
         nursery.start_soon(self._follower.run)
         nursery.start_soon(self._membership.run)
         nursery.start_soon(self._check)
+        nursery.start_soon(self._keep_pledges)
 
     async def open_session(self, database, key):
         """Return a new session and None, or None and its refusal."""
@@ -143,6 +144,11 @@
             if not self.is_stopping:
                 self._failover.check(self._nursery)
 
+    async def _keep_pledges(self):
+        while True:
+            await trio.sleep(CHECK_S)
+            await self._node.limits.keep_pledges()
+
     def _note_change(self):
         self._leads.check(self._nursery)
         self._changed.set()
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -103,6 +103,7 @@
         lead = self._node.view.get_lead(group)
         if lead is not None and lead.is_pending:
             self._settled_at[group] = now
+            self._noticed.pop(group, None)
             self._check_pending(nursery, group, lead, now)
             return
         self._pending.pop(group, None)
--- a/src/geraniumridge/_internal/proxy/follower.py
+++ b/src/geraniumridge/_internal/proxy/follower.py
@@ -5,6 +5,7 @@
 import trio
 
 from geraniumridge._internal import exceptions
+from geraniumridge._internal.utils import backoff
 from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
@@ -13,7 +14,10 @@
 """How long a watch waits; its answer renews the knowledge's age."""
 
 RETRY_S = 0.1
-"""Pause after a call that failed."""
+"""First pause after a call that failed; every call is priced."""
+
+MAX_RETRY_S = 0.5
+"""Longest pause; a store that is back is found so soon."""
 
 BATCH_S = 0.02
 """Pause after changes, so that a burst of them takes few calls."""
@@ -41,6 +45,7 @@
         self._on_change = on_change
         self._is_listed = False
         self._is_lost = False
+        self._backoff = backoff.Backoff(RETRY_S, MAX_RETRY_S)
 
     async def run(self):
         """Follow the store for good."""
@@ -53,7 +58,7 @@
                 continue
             except exceptions.PlatformError as error:
                 self._note_lost(error)
-                pause_s = RETRY_S
+                pause_s = self._backoff.next_pause()
             if pause_s:
                 await trio.sleep(pause_s)
 
@@ -83,6 +88,7 @@
             self._node.view.note_return(now)
         if self._is_lost:
             self._is_lost = False
+            self._node.note_return()
             logger.info("store regained", extra={"event": "store_regained"})
 
     def _note_lost(self, error):
@@ -93,5 +99,6 @@
             )
 
     def _finish(self, sent_at):
+        self._backoff.reset()
         self._node.freshness.confirm(sent_at)
         self._on_change()
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -26,6 +26,15 @@
 
 MAX_RETRY_MS = 1_000
 
+DEMAND_WINDOW_S = 1.0
+"""Time over which this VM averages its operations of a team."""
+
+KEEP_S = 0.3
+"""Pause between draws of a team with a pledge, used or not."""
+
+LEAST_PLEDGE = 0.1
+"""Rate a second below which a pledge is let go."""
+
 PLEDGE_UNIT = 1_000
 """Pledges travel in thousandths of a token per second."""
 
@@ -36,23 +45,29 @@
     def __init__(self, now):
         self.reserve = rates.Bucket(now)
         self.stock = rates.Stock()
-        self.demand = rates.Demand(now)
+        self.demand = rates.Demand(now, DEMAND_WINDOW_S)
         self.turn = trio.Lock()
         self.ask_at = 0.0
         self.pledge = 0.0
         self.granted_at = -math.inf
+        self.limiter = None
         self.fallback = rates.Bucket(now)
 
-    def note_grant(self, grant, now):
+    def note_grant(self, grant, limiter, now):
         """Take in a limiter's answer to a question of that time."""
+        self.limiter = limiter
         self.stock.add(grant.tokens, now + rates.GRANT_S)
         self.pledge = grant.pledge / PLEDGE_UNIT
         self.granted_at = now
         self.fallback = rates.Bucket(now + rates.PLEDGE_AFTER_S)
 
-    def take_pledged(self, now):
-        """Take a token that the silent limiter pledged."""
-        if not rates.is_pledged(self.granted_at, now):
+    def take_pledged(self, now, is_registered):
+        """Take a token that the silent limiter pledged.
+
+        `is_registered` tells that the limiter is known to be one still.
+        """
+        life_s = rates.LONG_PLEDGE_S if is_registered else rates.PLEDGE_S
+        if not rates.is_pledged(self.granted_at, now, life_s):
             return False
         allowance = rates.Allowance(self.pledge, max(1.0, self.pledge))
         return self.fallback.take(allowance, 1, now) > 0
@@ -101,7 +116,7 @@
         share = rates.RESERVE / self._count_members(now)
         if state.reserve.take(allowance.scale(share), 1, now):
             return True
-        if state.take_pledged(now):
+        if self._take_pledged(team.name, state, now):
             return True
         if now < state.ask_at:
             return False
@@ -135,6 +150,23 @@
             state = self._teams[team] = _TeamState(now)
         return state
 
+    async def keep_pledges(self):
+        """Tell limiters that a team is used less, until nothing is left.
+
+        A limiter leaves the rate that it pledged to a VM that is
+        silent, so a VM without use for it must not be.
+        """
+        now = clock.now()
+        for team, state in list(self._teams.items()):
+            is_due = now - state.granted_at >= KEEP_S and now >= state.ask_at
+            if state.pledge >= LEAST_PLEDGE and is_due:
+                async with state.turn:
+                    grant = await self._ask(team, 0)
+                if grant is None:
+                    state.ask_at = clock.now() + SILENT_S
+                    continue
+                state.note_grant(grant, self._find_limiter(team, now), now)
+
     async def _draw(self, team, state, rate):
         now = clock.now()
         if state.stock.take(now):
@@ -145,8 +177,8 @@
         grant = await self._ask(team, wanted)
         if grant is None:
             state.ask_at = clock.now() + SILENT_S
-            return state.take_pledged(clock.now())
-        state.note_grant(grant, now)
+            return self._take_pledged(team, state, clock.now())
+        state.note_grant(grant, self._find_limiter(team, now), now)
         if not grant.is_owner:
             state.ask_at = clock.now() + SILENT_S
             return False
@@ -155,22 +187,35 @@
             state.ask_at = clock.now() + pause_s
         return state.stock.take(clock.now())
 
+    def _take_pledged(self, team, state, now):
+        if state.limiter is None:
+            return False
+        is_registered = self._node.freshness.is_within(now, rates.NEWS_S) and (
+            self._find_limiter(team, now) == state.limiter
+        )
+        return state.take_pledged(now, is_registered)
+
+    def _find_limiter(self, team, now):
+        """Return the VM and the run that limit a team, or None."""
+        view = self._node.view
+        vm = rates.find_limiter(team, view.joined, now)
+        return view.members.get(vm)
+
     async def _ask(self, team, wanted):
         """Return the limiter's grant, None if it is silent or none."""
-        joined = self._node.view.joined
-        owner = rates.find_limiter(team, joined, clock.now())
+        owner = self._find_limiter(team, clock.now())
         if owner is None:
             return None
-        if owner == self._node.settings.vm.name:
-            return self._grant(0, team, wanted, owner)
-        address = streams.split_address(self._node.view.members[owner].address)
+        if owner.vm == self._node.settings.vm.name:
+            return self._grant(0, team, wanted, owner.vm)
+        address = streams.split_address(owner.address)
         for _ in range(TRIES):
             grant = await self._ask_once(team, wanted, address)
             if grant is not None:
                 return grant
         logger.info(
             "limiter silent",
-            extra={"event": "limiter_silent", "team": team, "owner": owner},
+            extra={"event": "limiter_silent", "team": team, "owner": owner.vm},
         )
         return None
 
@@ -233,8 +278,8 @@
         age_s = self._node.freshness.get_age(now)
         if not rates.may_grant(age_s, self._node.lease_until - now):
             return False
-        owner = rates.find_limiter(team, self._node.view.joined, now)
-        return owner == self._node.settings.vm.name
+        owner = self._find_limiter(team, now)
+        return owner is not None and owner.vm == self._node.settings.vm.name
 
     def _count_members(self, now):
         view = self._node.view
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -8,6 +8,7 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
+from geraniumridge._internal.utils import backoff
 from geraniumridge._internal.utils import clock
 from geraniumridge._internal.utils import decode
 
@@ -20,7 +21,10 @@
 """Pause between renewals; two may fail before the lease ends."""
 
 RETRY_S = 0.2
-"""Pause after a call that failed."""
+"""First pause after a call that failed; every call is priced."""
+
+MAX_RETRY_S = 2.0
+"""Longest pause, unless the store is seen to be back."""
 
 
 class Membership:
@@ -46,9 +50,11 @@
 
     async def run(self):
         """Stay registered until cancelled."""
+        pauses = backoff.Backoff(RETRY_S, MAX_RETRY_S)
         while True:
             try:
                 await self._keep()
+                pauses.reset()
                 await trio.sleep(RENEW_S)
             except exceptions.LeaseLostError:
                 self._lease = 0
@@ -58,7 +64,8 @@
                     "registration failed",
                     extra={"event": "member_retry", "why": str(error)},
                 )
-                await trio.sleep(RETRY_S)
+                with trio.move_on_after(pauses.next_pause()):
+                    await self._node.wait_return()
 
     async def leave(self):
         """End the lease, and with it the entry."""
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -2,6 +2,8 @@
 
 import math
 
+import trio
+
 from geraniumridge._internal.decisions import freshness
 from geraniumridge._internal.decisions import marks
 from geraniumridge._internal.decisions import primacy
@@ -10,8 +12,14 @@
 from geraniumridge._internal.proxy import pool
 from geraniumridge._internal.utils import measures
 
-KEY_MARGIN_S = 1.0
-"""How much sooner than they must keys stop counting without news."""
+KEY_MARGIN_S = 0.1
+"""How much sooner than they must keys stop counting without news; for
+clocks that run at slightly different rates."""
+
+
+GONE_SHARE = 0.6
+"""Part of the bound on departed targets for which a primary is used on
+after its entry vanished."""
 
 
 class Node:
@@ -37,15 +45,29 @@
         self.freshness = freshness.Freshness()
         self.view = view.View(decode)
         self.primacy = primacy.Primacy(
-            settings.vm.name, boot, self.view, self.freshness
+            settings.vm.name,
+            boot,
+            self.view,
+            self.freshness,
+            settings.bounds.departure_ms / 1000 * GONE_SHARE,
         )
         self.pools = pool.Pools(dialect)
         self.measures = measures.Measures()
         self.limits = None
         self.lease_until = -math.inf
+        self._returned = trio.Event()
         self._marks = {}
         self._guards = {}
 
+    def note_return(self):
+        """Wake those who wait for the store to answer again."""
+        self._returned.set()
+        self._returned = trio.Event()
+
+    async def wait_return(self):
+        """Wait until the store answers again after an outage."""
+        await self._returned.wait()
+
     def get_marks(self, group):
         """Return the marks of a group."""
         return self._marks.setdefault(group, marks.Marks())
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -15,7 +15,7 @@
 """Bound on opening a connection; a lost opening packet is sent again
 only after a second."""
 
-KEEP_SHARE = 0.8
+KEEP_SHARE = 0.85
 """Part of a target's connections that all VMs together may keep idle."""
 
 SPARE = 1
@@ -75,10 +75,14 @@
         """Connections that are open or being opened."""
         return len(self._idle) + len(self._busy) + self._opening
 
+    def has_idle(self, team):
+        """Tell whether a connection of a team is at hand."""
+        return any(pooled.team == team for pooled in self._idle)
+
     def set_limits(self, max_connections, members):
         """Derive the own part of a target's connections."""
         share = max_connections / max(1, members)
-        self._keep = max(1, int(KEEP_SHARE * share))
+        self._keep = max(1, round(KEEP_SHARE * share))
         self._most = max(1, int(share)) + SPARE
 
     async def borrow(self, target, team):
@@ -149,6 +153,7 @@
 
     async def _open(self, target, team):
         self._opening += 1
+        self.load.note_try(clock.now())
         try:
             link = await self._dialect.open(target, team, CONNECT_TIMEOUT_S)
         except exceptions.TargetRefusedError as error:
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -67,7 +67,7 @@
             return None
         best = min(
             candidates,
-            key=lambda target: self._estimate(target, minimum, now),
+            key=lambda target: self._estimate(work, target, minimum, now),
         )
         is_primary = primary is not None and best.id == primary.id
         return attempt.Plan(best, minimum, is_primary)
@@ -82,10 +82,16 @@
         lead_term = self._node.get_lead_term(route.group)
         return placement.find_minimum(marks, session_mark, lead_term, since)
 
-    def _estimate(self, target, minimum, now):
-        load = self._node.pools.get(target.id).load
-        domain = self._node.settings.vm.domain
-        return placement.estimate_wait(load, target, minimum, domain, now)
+    def _estimate(self, work, target, minimum, now):
+        pool = self._node.pools.get(target.id)
+        return placement.estimate_wait(
+            pool.load,
+            target,
+            minimum,
+            self._node.settings.vm.domain,
+            now,
+            pool.has_idle(work.team),
+        )
 
     def _is_allowed(self, route, target):
         return placement.is_eligible(
--- a/tests/unit/decisions/test_primacy.py
+++ b/tests/unit/decisions/test_primacy.py
@@ -21,7 +21,7 @@
         self.view = view.View(lambda key, value: value)
         self.freshness = freshness.Freshness()
         self.primacy = primacy.Primacy(
-            "vm-1", "boot", self.view, self.freshness
+            "vm-1", "boot", self.view, self.freshness, gone_s=4.0
         )
         self.revision = 0
         self.take(
@@ -84,3 +84,11 @@
     member = boot and fleets.make_member("vm-1", boot)
     world.take((fleet.make_member_key("vm-1"), member))
     assert not world.primacy.has_evidence(0.0)
+
+
+def test_a_lead_whose_entry_vanished_is_used_for_a_while():
+    world = World(make_lead("b"))
+    world.take(("s/b", None))
+    assert world.primacy.find_primary("ledger") == REPLICA
+    world.freshness.confirm(4.1)
+    assert world.primacy.find_primary("ledger") is None
--- a/tests/unit/decisions/test_rates.py
+++ b/tests/unit/decisions/test_rates.py
@@ -60,13 +60,13 @@
     master = rates.MasterBucket(0.0)
     allowance = rates.Allowance(100.0, 10.0)
     now = 0.0
-    for _ in range(40):
+    for _ in range(200):
         now += 0.05
         _, _, pledge = master.draw("vm-1", allowance, 1, now)
     assert 10 < pledge <= rates.PLEDGED * 100.0
     reduced = master._reduce(allowance, now + rates.PLEDGE_AFTER_S)
     assert reduced.rate == 100.0 - pledge
-    late = now + rates.PLEDGE_AFTER_S + rates.PLEDGE_S + 0.01
+    late = now + rates.PLEDGE_AFTER_S + rates.LONG_PLEDGE_S + 0.01
     assert master._reduce(allowance, late).rate == 100.0
 
 
