--- a/src/geraniumridge/_internal/decisions/load.py
+++ b/src/geraniumridge/_internal/decisions/load.py
@@ -4,7 +4,7 @@
 
 from geraniumridge._internal.models import records
 
-FIRST_LATENCY_S = 0.02
+FIRST_LATENCY_S = 0.01
 """Assumed latency of a target without answers yet."""
 
 LATENCY_WEIGHT = 0.2
--- a/src/geraniumridge/_internal/decisions/placement.py
+++ b/src/geraniumridge/_internal/decisions/placement.py
@@ -20,7 +20,7 @@
 """Latency added where a connection has to be opened; it also takes a
 slot of the target for as long."""
 
-PRIMARY_S = 0.025
+PRIMARY_S = 0.040
 """Latency added for a primary, whose slots only it can use for
 writes."""
 
