--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -1,5 +1,6 @@
 """Life of the proxy on one VM: start, readiness, graceful stop."""
 
+import contextlib
 import logging
 import signal
 
@@ -47,7 +48,8 @@
     def __init__(self, node, store, promoter):
         self._node = node
         self._changed = trio.Event()
-        self._stopping = trio.Event()
+        self._is_stopping = False
+        self._resting = set()
         self._sessions = set()
         self._follower = follower.Follower(node, store, self._note_change)
         self._membership = membership.Membership(node, store)
@@ -64,7 +66,7 @@
     @property
     def is_stopping(self):
         """Whether a graceful stop has begun."""
-        return self._stopping.is_set()
+        return self._is_stopping
 
     @property
     def is_ready(self):
@@ -101,9 +103,18 @@
         with trio.CancelScope(shield=True):
             await ended.close()
 
-    async def wait_stopping(self):
-        """Wait until a graceful stop begins."""
-        await self._stopping.wait()
+    @contextlib.contextmanager
+    def end_on_stop(self):
+        """Leave the block early when a graceful stop begins."""
+        scope = trio.CancelScope()
+        self._resting.add(scope)
+        if self.is_stopping:
+            scope.cancel()
+        try:
+            with scope:
+                yield
+        finally:
+            self._resting.discard(scope)
 
     async def run_until_stopped(self):
         """Wait for the signal to stop, then let open work end."""
@@ -115,7 +126,9 @@
                     break
                 logger.info("reload", extra={"event": "reload"})
         logger.info("stopping", extra={"event": "stopping"})
-        self._stopping.set()
+        self._is_stopping = True
+        for scope in list(self._resting):
+            scope.cancel()
         await self._drain()
         logger.info("stopped", extra={"event": "stopped"})
 
--- a/tests/functional/test_proxy_path.py
+++ b/tests/functional/test_proxy_path.py
@@ -1,5 +1,8 @@
 """The statement path: sessions, transactions, reads, refusals."""
 
+import socket
+import struct
+
 import trio
 
 from geraniumridge._internal.utils import clock
@@ -231,3 +234,17 @@
     assert (await caller.query_all("BEGIN READ"))[-1] == "READY T -"
     assert (await caller.query("READ x"))[0] == "ROW none"
     assert is_success(await caller.query("COMMIT"))
+
+
+def test_a_caller_that_resets_its_connection_is_no_fault(caplog):
+    async def main():
+        async with proxies.open_world() as world:
+            caller = await world.connect(await world.add_proxy())
+            caller.stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            await caller.close()
+            await trio.sleep(0.1)
+
+    trio.run(main)
+    assert "session failed" not in caplog.text
