Let settled members limit teams, by one word in the store for all VMs

Members now say in the store that they have settled. - a replacement waited 4.7 s with every VM up, as a gap of 3.4 s in the watch counted as a broken view; gaps below a lease are whole. - a status call refused for want of connections counted as silence. - pledges equal to the mean refused half; they get a margin of a half.

--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -24,18 +24,22 @@
 the tolerance of the limit, a tenth of five seconds' rate."""
 
 JOIN_S = 4.0
-"""A VM becomes a limiter only so long after it joined; a limiter whose
-knowledge is younger has seen it by then."""
+"""A VM settles so long after it registered; a limiter whose knowledge
+is younger has seen it by then."""
 
 HANDOVER_S = 0.1
 """How much sooner than it must a limiter stops granting."""
 
-PLEDGED = 0.6
+PLEDGED = 0.8
 """Part of the rate that a limiter pledges to those that draw."""
 
 DRAWER_WINDOW_S = 3.0
 """Time over which a limiter averages what a VM draws."""
 
+PLEDGE_MARGIN = 1.5
+"""Pledge as a multiple of what a VM draws on average; its operations do
+not come evenly."""
+
 PLEDGE_AFTER_S = 0.5
 """A pledge counts so long after the last draw, at both sides."""
 
@@ -154,7 +158,7 @@
             item.pledge for name, item in self._drawers.items() if name != vm
         )
         room = max(0.0, PLEDGED * allowance.rate - others)
-        pledge = min(rate, room)
+        pledge = min(PLEDGE_MARGIN * rate, room)
         self._drawers[vm] = Drawer(demand, pledge, now)
         return pledge
 
@@ -216,27 +220,31 @@
         return self._rate
 
 
-def find_limiter(team, joined, now):
-    """Return the VM that limits a team, or None without VMs.
+def find_limiter(team, members):
+    """Return the `fleet.Member` that limits a team, or None.
+
+    Only settled VMs limit teams, so that none begins before its
+    predecessor has seen it. When most have just started they limit
+    together, as there is nobody to take over from.
 
     Parameters
     ----------
     team : str
         The team.
-    joined : dict
-        Clock time at which each member was first seen.
-    now : float
-        Clock time, in seconds.
+    members : dict
+        Registered `fleet.Member` by VM.
     """
-    settled = [vm for vm, since in joined.items() if now - since >= JOIN_S]
-    return rendezvous.choose_node(f"limiter/{team}", settled or joined)
+    settled = [vm for vm, member in members.items() if member.is_settled]
+    if 2 * len(settled) < len(members):
+        settled = list(members)
+    return members.get(rendezvous.choose_node(f"limiter/{team}", settled))
 
 
 def may_grant(age_s, lease_left_s):
     """Tell whether a limiter may still grant, whoever else has joined.
 
-    A successor begins when the lease has ended, or `JOIN_S` after it
-    joined.
+    A successor begins when the lease has ended, or when it has
+    settled.
 
     Parameters
     ----------
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -1,5 +1,6 @@
 """One revisioned picture of the store, which never goes backwards."""
 
+import math
 import typing
 
 from geraniumridge._internal.models import desired
@@ -10,6 +11,11 @@
 from the platform's description of service discovery."""
 
 
+GAP_S = 3.9
+"""Gap in the knowledge of the store in which no member can have come
+and gone unseen; shorter than a member's lease."""
+
+
 class Evacuation(typing.NamedTuple):
     """Operators' order to send nothing to a failure domain."""
 
@@ -55,7 +61,6 @@
         self._targets = {}
         self._evacuated = set()
         self._members = {}
-        self._joined = {}
         self._releases = {}
         self._departures = {}
         self._lapsing = {}
@@ -88,11 +93,6 @@
         """Live `fleet.Member` by VM."""
         return self._members
 
-    @property
-    def joined(self):
-        """Clock time at which each member's run was first seen."""
-        return self._joined
-
     @property
     def whole_since(self):
         """Since when no change can have been missed; None if never."""
@@ -141,13 +141,15 @@
             if now - item.seen_at <= within_s
         }
 
-    def replace(self, now, listing):
+    def replace(self, now, listing, known_until=-math.inf):
         """Take in a listing of the whole store.
 
         Parameters
         ----------
         now : float
             Clock time, in seconds.
+        known_until : float
+            Clock time up to which the picture was complete.
         listing : ports.store.Listing
             All keys; ignored if older than the picture.
 
@@ -158,7 +160,8 @@
         """
         if listing.revision < self._revision:
             return False
-        self._whole_since = now
+        if self._whole_since is None or now - known_until > GAP_S:
+            self._whole_since = now
         present = {item.key for item in listing.items}
         for key in list(self._entries.keys() - present):
             self._remove(now, key)
@@ -195,14 +198,14 @@
         if known is not None and type(record) is not type(known.record):
             self._forget(now, item.key, known.record)
         self._entries[item.key] = Entry(item.revision, record)
-        self._store(now, item.key, record)
+        self._store(item.key, record)
 
     def _remove(self, now, key):
         known = self._entries.pop(key, None)
         if known is not None:
             self._forget(now, key, known.record)
 
-    def _store(self, now, key, record):
+    def _store(self, key, record):
         if isinstance(record, desired.DesiredState):
             self._state = record
         elif isinstance(record, desired.Target):
@@ -211,7 +214,8 @@
         elif isinstance(record, Evacuation):
             self._evacuated.add(record.domain)
         elif isinstance(record, fleet.Member):
-            self._store_member(now, record)
+            self._members[record.vm] = record
+            self._departures.pop(record.vm, None)
         elif isinstance(record, fleet.Release):
             group = fleet.parse_release_group(key)
             self._releases.setdefault(group, {})[record.vm] = record
@@ -223,19 +227,11 @@
             self._evacuated.discard(record.domain)
         elif isinstance(record, fleet.Member):
             self._members.pop(record.vm, None)
-            self._joined.pop(record.vm, None)
             self._departures[record.vm] = Departure(record, now)
         elif isinstance(record, fleet.Release):
             group = fleet.parse_release_group(key)
             self._releases.get(group, {}).pop(record.vm, None)
 
-    def _store_member(self, now, record):
-        known = self._members.get(record.vm)
-        if known is None or known.boot != record.boot:
-            self._joined[record.vm] = now
-        self._members[record.vm] = record
-        self._departures.pop(record.vm, None)
-
     def _forget_target(self, now, target):
         if self._is_returning(now):
             limit = self._returned_at + RETURN_GRACE_S
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -21,12 +21,17 @@
 
 
 class Member(typing.NamedTuple):
-    """One VM, under its lease. `boot` tells two runs apart."""
+    """One VM, under its lease.
+
+    `boot` tells two runs apart; `is_settled` that this one has been
+    registered for so long that every other VM knows of it.
+    """
 
     vm: str
     domain: str
     address: str
     boot: str
+    is_settled: bool = False
 
 
 class Release(typing.NamedTuple):
--- a/src/geraniumridge/_internal/proxy/control.py
+++ b/src/geraniumridge/_internal/proxy/control.py
@@ -22,6 +22,13 @@
 """Pause between these."""
 
 
+PASSING = (
+    statements.Outcome.OVERLOADED,
+    statements.Outcome.TOO_MANY_CONNECTIONS,
+)
+"""Refusals after which it is asked again."""
+
+
 class Control:
     """Asks and orders one target.
 
@@ -36,8 +43,14 @@
     def __init__(self, dialect, target):
         self._dialect = dialect
         self._link = None
+        self._is_refused = False
         self.target = target
 
+    @property
+    def is_refused(self):
+        """Whether the target answered the last question by refusing."""
+        return self._is_refused
+
     async def inspect(self):
         """Return the target's status, None without an answer."""
         return await self._ask(self._dialect.inspect)
@@ -62,12 +75,14 @@
 
     async def _ask(self, question, *arguments):
         for _ in range(BUSY_TRIES):
+            self._is_refused = False
             try:
                 with trio.fail_after(ANSWER_TIMEOUT_S):
                     return await self._ask_once(question, arguments)
             except exceptions.TargetRefusedError as error:
-                if error.outcome is not statements.Outcome.OVERLOADED:
-                    self._note(error)
+                self._is_refused = True
+                self._note(error)
+                if error.outcome not in PASSING:
                     return None
                 await trio.sleep(BUSY_PAUSE_S)
             except (exceptions.NetworkError, trio.TooSlowError) as error:
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -211,7 +211,7 @@
             status = await asked.inspect()
         finally:
             asked.close()
-        if status is None:
+        if status is None and not asked.is_refused:
             return False
         self._node.pools.get(primary.id).load.note_answer(clock.now())
         return True
--- a/src/geraniumridge/_internal/proxy/follower.py
+++ b/src/geraniumridge/_internal/proxy/follower.py
@@ -69,7 +69,8 @@
         if not self._is_listed:
             listing = await self._store.list("")
             self._note_answer()
-            if not view.replace(clock.now(), listing):
+            known_until = self._node.freshness.proved_at
+            if not view.replace(clock.now(), listing, known_until):
                 return RETRY_S
             self._is_listed = True
             self._finish(sent_at)
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -165,7 +165,7 @@
                 if grant is None:
                     state.ask_at = clock.now() + SILENT_S
                     continue
-                state.note_grant(grant, self._find_limiter(team, now), now)
+                state.note_grant(grant, self._find_limiter(team), now)
 
     async def _draw(self, team, state, rate):
         now = clock.now()
@@ -178,7 +178,7 @@
         if grant is None:
             state.ask_at = clock.now() + SILENT_S
             return self._take_pledged(team, state, clock.now())
-        state.note_grant(grant, self._find_limiter(team, now), now)
+        state.note_grant(grant, self._find_limiter(team), now)
         if not grant.is_owner:
             state.ask_at = clock.now() + SILENT_S
             return False
@@ -191,19 +191,17 @@
         if state.limiter is None:
             return False
         is_registered = self._node.freshness.is_within(now, rates.NEWS_S) and (
-            self._find_limiter(team, now) == state.limiter
+            self._find_limiter(team) == state.limiter
         )
         return state.take_pledged(now, is_registered)
 
-    def _find_limiter(self, team, now):
-        """Return the VM and the run that limit a team, or None."""
-        view = self._node.view
-        vm = rates.find_limiter(team, view.joined, now)
-        return view.members.get(vm)
+    def _find_limiter(self, team):
+        """Return the member that limits a team, or None."""
+        return rates.find_limiter(team, self._node.view.members)
 
     async def _ask(self, team, wanted):
         """Return the limiter's grant, None if it is silent or none."""
-        owner = self._find_limiter(team, clock.now())
+        owner = self._find_limiter(team)
         if owner is None:
             return None
         if owner.vm == self._node.settings.vm.name:
@@ -278,7 +276,7 @@
         age_s = self._node.freshness.get_age(now)
         if not rates.may_grant(age_s, self._node.lease_until - now):
             return False
-        owner = self._find_limiter(team, now)
+        owner = self._find_limiter(team)
         return owner is not None and owner.vm == self._node.settings.vm.name
 
     def _count_members(self, now):
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from geraniumridge._internal.decisions import rates
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
@@ -42,6 +43,7 @@
         self._node = node
         self._store = store
         self._lease = 0
+        self._registered_at = None
 
     @property
     def lease(self):
@@ -58,6 +60,7 @@
                 await trio.sleep(RENEW_S)
             except exceptions.LeaseLostError:
                 self._lease = 0
+                self._registered_at = None
                 logger.warning("lease lost", extra={"event": "lease_lost"})
             except exceptions.PlatformError as error:
                 logger.info(
@@ -87,17 +90,27 @@
             self._lease = await self._store.open_lease(LEASE_S)
         # The lease runs from the arrival of the call, not before.
         self._node.lease_until = sent_at + LEASE_S
-        if not self._is_registered():
-            await self._register()
-
-    def _is_registered(self):
-        return self._node.primacy.is_member()
-
-    async def _register(self):
+        now = clock.now()
+        if self._registered_at is None:
+            self._registered_at = now
+        is_settled = now - self._registered_at >= rates.JOIN_S
+        if not self._is_registered(is_settled):
+            await self._register(is_settled)
+
+    def _is_registered(self, is_settled):
+        member = self._node.view.members.get(self._node.settings.vm.name)
+        known = member and (member.boot, member.is_settled)
+        return known == (self._node.boot, is_settled)
+
+    async def _register(self, is_settled):
         settings = self._node.settings
         address = f"{settings.vm.ip}:{settings.listen.first_peer_port}"
         member = fleet.Member(
-            settings.vm.name, settings.vm.domain, address, self._node.boot
+            settings.vm.name,
+            settings.vm.domain,
+            address,
+            self._node.boot,
+            is_settled,
         )
         write = store_port.Write(
             fleet.make_member_key(settings.vm.name),
