--- a/src/geraniumridge/_internal/decisions/placement.py
+++ b/src/geraniumridge/_internal/decisions/placement.py
@@ -70,8 +70,8 @@
     return max(mark, session_mark.mark)
 
 
-def is_eligible(target, route, view, regions):
-    """Tell whether desired state lets a route use a target.
+def is_eligible(target, route, team, view, regions):
+    """Tell whether desired state lets a team's route use a target.
 
     Parameters
     ----------
@@ -79,6 +79,8 @@
         The candidate.
     route : desired.Route
         The route.
+    team : desired.Team or None
+        The team, if the statement runs for one.
     view : decisions.view.View
         The picture of the store.
     regions : callable
@@ -88,7 +90,10 @@
         return False
     if target.domain in view.evacuated:
         return False
-    return not route.regions or regions(target.domain) in route.regions
+    region = regions(target.domain)
+    if route.regions and region not in route.regions:
+        return False
+    return team is None or not team.regions or region in team.regions
 
 
 def estimate_wait(load, target, minimum, own_domain, now, is_open=True):
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -11,6 +11,9 @@
 from the platform's description of service discovery."""
 
 
+REMEMBER_S = 60.0
+"""How long members and targets that are gone are remembered."""
+
 GAP_S = 3.9
 """Gap in the knowledge of the store in which no member can have come
 and gone unseen; shorter than a member's lease."""
@@ -181,7 +184,11 @@
         self._returned_at = now
 
     def expire(self, now):
-        """Drop targets that did not register again in time."""
+        """Drop targets that did not return, and what is long gone."""
+        for memory in (self._gone_targets, self._departures):
+            for name, item in list(memory.items()):
+                if now - item.seen_at > REMEMBER_S:
+                    del memory[name]
         for target, limit in list(self._lapsing.items()):
             if now >= limit:
                 del self._lapsing[target]
--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -36,10 +36,15 @@
 
 
 class PlatformSettings(typing.NamedTuple):
-    """Addresses of the store and of the duties of one VM at a time."""
+    """Addresses of the store and of the duties of one VM at a time.
+
+    `least_lease_ms` is the shortest life of a lease that the store
+    grants, in milliseconds.
+    """
 
     store: settings.Address
     duties: settings.Address
+    least_lease_ms: settings.Seconds = 1_000.0
 
 
 class BoundSettings(typing.NamedTuple):
--- a/src/geraniumridge/_internal/proxy/leads.py
+++ b/src/geraniumridge/_internal/proxy/leads.py
@@ -81,8 +81,11 @@
         key = fleet.make_lead_key(group)
         while self._node.view.get_revision(key) == revision:
             try:
-                await self._write(group, revision)
-                return
+                if self._lease():
+                    await self._write(group, revision)
+                    return
+                # Without a lease the key would outlive this run.
+                await trio.sleep(RETRY_S)
             except exceptions.PlatformError as error:
                 logger.info(
                     "release not written",
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -44,6 +44,8 @@
         self._store = store
         self._lease = 0
         self._registered_at = None
+        least_s = node.settings.platform.least_lease_ms / 1000
+        self._lease_s = max(LEASE_S, least_s)
 
     @property
     def lease(self):
@@ -87,9 +89,9 @@
         if self._lease:
             await self._store.renew_lease(self._lease)
         else:
-            self._lease = await self._store.open_lease(LEASE_S)
+            self._lease = await self._store.open_lease(self._lease_s)
         # The lease runs from the arrival of the call, not before.
-        self._node.lease_until = sent_at + LEASE_S
+        self._node.lease_until = sent_at + self._lease_s
         now = clock.now()
         if self._registered_at is None:
             self._registered_at = now
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -5,6 +5,7 @@
 import trio
 
 from geraniumridge._internal.decisions import load
+from geraniumridge._internal.decisions import rates
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.utils import clock
@@ -69,6 +70,7 @@
         self._keep = 1
         self._most = 1
         self.load = load.TargetLoad()
+        self.warmup = rates.Bucket(clock.now())
 
     @property
     def size(self):
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -1,6 +1,7 @@
 """Where a statement may run, and when to stop trying."""
 
 from geraniumridge._internal.decisions import placement
+from geraniumridge._internal.decisions import rates
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.proxy import attempt
 from geraniumridge._internal.utils import clock
@@ -38,14 +39,17 @@
             found = self._plan_read(work, excluded)
             if found is not None:
                 return found
-        return self._plan_primary(route, excluded)
+        return self._plan_primary(work, excluded)
 
-    def _plan_primary(self, route, excluded):
+    def _plan_primary(self, work, excluded):
+        route = work.route
         now = clock.now()
         target = self._node.primacy.find_usable(route.group, now)
         if target is None or target.id in excluded:
             return None
-        if not self._is_allowed(route, target):
+        if not self._is_allowed(work, target):
+            return None
+        if not self._warms_up(target, now):
             return None
         return attempt.Plan(target, None, True)
 
@@ -60,15 +64,17 @@
             for target in self._node.view.list_group(work.route.group)
             if target.id not in excluded
             and not target.is_draining
-            and self._is_allowed(work.route, target)
+            and self._is_allowed(work, target)
             and not self._node.pools.get(target.id).load.is_resting(now)
         ]
-        if not candidates:
-            return None
-        best = min(
-            candidates,
-            key=lambda target: self._estimate(work, target, minimum, now),
+        candidates.sort(
+            key=lambda target: self._estimate(work, target, minimum, now)
+        )
+        best = next(
+            (item for item in candidates if self._warms_up(item, now)), None
         )
+        if best is None:
+            return None
         is_primary = primary is not None and best.id == primary.id
         return attempt.Plan(best, minimum, is_primary)
 
@@ -93,7 +99,22 @@
             pool.has_idle(work.team),
         )
 
-    def _is_allowed(self, route, target):
+    def _is_allowed(self, work, target):
+        view = self._node.view
+        team = view.state.teams.get(work.team)
         return placement.is_eligible(
-            target, route, self._node.view, self._node.get_region
+            target, work.route, team, view, self._node.get_region
         )
+
+    def _warms_up(self, target, now):
+        """Take a statement out of a cold target's limit, if it has one.
+
+        The limit holds over all VMs; each uses its even part.
+        """
+        plan = self._node.view.state.groups.get(target.group)
+        if plan is None or not plan.warmup_per_s or not target.warmup_left_s:
+            return True
+        members = max(1, len(self._node.view.members))
+        allowance = rates.Allowance(plan.warmup_per_s / members, 1.0)
+        bucket = self._node.pools.get(target.id).warmup
+        return bucket.take(allowance, 1, now) > 0
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import failover
@@ -193,7 +194,8 @@
         async with proxies.open_world() as world:
             for number in range(3):
                 await world.add_proxy(f"vm-{number}")
-            await settle(world)
+            # A VM that has just started may have missed who left.
+            await trio.sleep(succession.WAIT_S + 0.2)
             started = trio.current_time()
             world.register(world.group.instances["i-0"], state="draining")
             await proxies.wait_until(lambda: world.duties.orders)
--- a/tests/functional/test_proxy_path.py
+++ b/tests/functional/test_proxy_path.py
@@ -236,6 +236,28 @@
     assert is_success(await caller.query("COMMIT"))
 
 
+@run_world
+async def test_a_cold_target_gets_no_more_than_its_limit(world, proxy):
+    services = [
+        {
+            "name": "ledger",
+            "maxConns": 20,
+            "syncReplicas": 1,
+            "warmupPerS": 5,
+        }
+    ]
+    world.store.put("op/config", proxies.make_config(2, services=services))
+    for item in world.group.instances.values():
+        entry = {**world.group.make_entry(item), "warmupLeftMs": 9000}
+        world.store.put(f"servers/{item.name}", entry)
+    await trio.sleep(0.3)
+    caller = await world.connect(proxy)
+    began_at = trio.current_time()
+    while trio.current_time() - began_at < 1.0:
+        await caller.query("READ a")
+    assert 3 <= len(world.group.instances["i-0"].ran) <= 8
+
+
 def test_a_caller_that_resets_its_connection_is_no_fault(caplog):
     async def main():
         async with proxies.open_world() as world:
--- a/tests/functional/test_proxy_process.py
+++ b/tests/functional/test_proxy_process.py
@@ -50,7 +50,8 @@
                 ready=self.listen.ready,
                 metrics=self.listen.metrics,
                 port=self.listen.first_peer_port,
-                **settings.platform._asdict(),
+                store=settings.platform.store,
+                duties=settings.platform.duties,
             )
         )
         self.log = folder / "log"
--- a/tests/unit/decisions/test_placement.py
+++ b/tests/unit/decisions/test_placement.py
@@ -68,13 +68,15 @@
     target = fleets.make_target("a")
     regions = {"north": "east"}.get
     route = fleets.make_route()
-    assert placement.is_eligible(target, route, picture, regions)
+    assert placement.is_eligible(target, route, None, picture, regions)
     other = fleets.make_route(group="other")
-    assert not placement.is_eligible(target, other, picture, regions)
+    assert not placement.is_eligible(target, other, None, picture, regions)
     away = fleets.make_route(regions=frozenset({"west"}))
-    assert not placement.is_eligible(target, away, picture, regions)
+    assert not placement.is_eligible(target, away, None, picture, regions)
+    team = desired.Team("team", 1.0, 1.0, frozenset({"west"}))
+    assert not placement.is_eligible(target, route, team, picture, regions)
     picture._evacuated.add("north")
-    assert not placement.is_eligible(target, route, picture, regions)
+    assert not placement.is_eligible(target, route, None, picture, regions)
 
 
 def test_silence_counts_from_the_last_answer():
--- a/tests/unit/models/test_proxy_settings.py
+++ b/tests/unit/models/test_proxy_settings.py
@@ -71,6 +71,7 @@
         "internalPorts.1": "7010",
         "bounds.graceS": "6",
         "bounds.revokeMs": "5000",
+        "platform.ttlMinMs": "1000",
         "bounds.drainMs": "7000",
         "#zones": "",
         "/zones": "",
