--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -1,7 +1,5 @@
 """Settings of the proxy on one VM, read from a TOML file."""
 
-import pathlib
-import tomllib
 import typing
 
 import msgspec
@@ -96,14 +94,7 @@
     exceptions.SettingsError
         Naming the file, each key and the reason.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise exceptions.SettingsError(path, [f"cannot be read: {error}"])
-    try:
-        data = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise exceptions.SettingsError(path, [f"not valid TOML: {error}"])
+    data = settings.read_toml(path)
     found = decode.decode(ProxySettings, data, path)
     if found.listen.last_peer_port < found.listen.first_peer_port:
         raise exceptions.SettingsError(
--- a/src/geraniumridge/_internal/proxy/patience.py
+++ b/src/geraniumridge/_internal/proxy/patience.py
@@ -14,6 +14,9 @@
 BUSY_PAUSE_S = 0.02
 """Pause after every target has refused."""
 
+MIN_TRY_S = 0.02
+"""Least time left in which a further try makes sense."""
+
 MIN_ATTEMPT_S = 0.4
 """Least time that a read gets at one target."""
 
@@ -46,7 +49,7 @@
     def goes_on(self):
         """Tell whether to try again."""
         now = trio.current_time()
-        if self._runs_left <= 0 or now >= self._until:
+        if self._runs_left <= 0 or now >= self._until - MIN_TRY_S:
             return False
         return self._was_offered or now < self._hold_until
 
@@ -65,7 +68,9 @@
     def note_not_sent(self, target, reason):
         """Note a try that did not reach its target."""
         self.excluded.add(target)
-        self._reason = reason
+        if not self._was_offered:
+            # What a target said itself explains more.
+            self._reason = reason
 
     def note_refused(self, target, answer):
         """Note a target's answer that it did not run the statement."""
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -22,6 +22,36 @@
     def __init__(self, node):
         self._node = node
 
+    async def try_targets(self, work, is_read, tries, attempt_at):
+        """Try targets in turn until one of them gives a final answer.
+
+        Parameters
+        ----------
+        work : attempt.Work
+            The statement.
+        is_read : bool
+            Whether a replica may serve it.
+        tries : patience.Patience
+            How long to go on.
+        attempt_at : callable
+            Async function of work, plan and tries; returns the final
+            answer, or None to try again.
+
+        Returns
+        -------
+        statements.Answer
+            The final answer, or a refusal.
+        """
+        while tries.goes_on():
+            plan = self.plan(work, is_read, tries.excluded)
+            if plan is None:
+                await tries.pause()
+                continue
+            answer = await attempt_at(work, plan, tries)
+            if answer is not None:
+                return answer
+        return tries.refuse()
+
     def plan(self, work, is_read, excluded):
         """Return the `attempt.Plan` of the best target, or None.
 
--- a/src/geraniumridge/_internal/proxy/single.py
+++ b/src/geraniumridge/_internal/proxy/single.py
@@ -28,15 +28,9 @@
             session, statement, grant.route, grant.team, is_write
         )
         tries = patience.Patience(grant.route)
-        while tries.goes_on():
-            plan = self._router.plan(work, not is_write, tries.excluded)
-            if plan is None:
-                await tries.pause()
-                continue
-            answer = await self._try(work, plan, tries)
-            if answer is not None:
-                return answer
-        return tries.refuse()
+        return await self._router.try_targets(
+            work, not is_write, tries, self._try
+        )
 
     async def _try(self, work, plan, tries):
         """Return the final answer, or None to try again."""
--- a/src/geraniumridge/_internal/proxy/transaction.py
+++ b/src/geraniumridge/_internal/proxy/transaction.py
@@ -76,15 +76,9 @@
     async def _run_first(self, statement):
         tries = patience.Patience(self._grant.route)
         work = self._make_work(statement, begin=self._is_read_only)
-        while tries.goes_on():
-            plan = self._router.plan(work, self._is_read_only, tries.excluded)
-            if plan is None:
-                await tries.pause()
-                continue
-            answer = await self._try_first(work, plan, tries)
-            if answer is not None:
-                return answer
-        return tries.refuse()
+        return await self._router.try_targets(
+            work, self._is_read_only, tries, self._try_first
+        )
 
     async def _try_first(self, work, plan, tries):
         timeout_s = tries.get_timeout_s(self._has_written)
