Find a done promotion though the old primary follows it

Cause (Association's incident, replayed with logs): the holder ordered a promotion and lost the store before it could settle the lead; the old primary came back as a replica of the new term; later holders compared the new primary's term with that and ordered again for 40 s. Ruled out: a refused order (each was answered 200), a silent replica (both were held). Also: the mark names the primary of the decision, and the time without a primary begins anew after a replacement. Tests fail without the change.

--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -58,6 +58,39 @@
     }
 
 
+def find_leader(lead, found):
+    """Return the target that an earlier order has made primary.
+
+    The replaced primary may have followed it by now and know its term,
+    so only its claim to lead counts against it.
+
+    Parameters
+    ----------
+    lead : fleet.Lead
+        The pending lead, with the term of the replaced primary.
+    found : dict
+        Status by id of each target of the group, None if silent.
+
+    Returns
+    -------
+    str or None
+        Its id.
+    """
+    old = found.get(lead.target)
+    floor = lead.term
+    if old is not None and old.role is desired.Role.PRIMARY:
+        floor = max(floor, old.term)
+    leaders = [
+        name
+        for name, status in found.items()
+        if name != lead.target
+        and status is not None
+        and status.role is desired.Role.PRIMARY
+        and (status.term > floor or not lead.target)
+    ]
+    return max(leaders, key=lambda name: found[name].term, default=None)
+
+
 def choose_successor(replicas, bound):
     """Return the replica that provably holds every acknowledged commit.
 
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -187,10 +187,11 @@
     async def _replace(self, group, reason):
         # Whoever changed the lead since this decision goes before it.
         decided_on = self._node.view.get_revision(fleet.make_lead_key(group))
+        primary = self._node.primacy.find_primary(group)
         try:
             if reason.needs_proof and await self._answers(group):
                 return
-            if await self._mark(group, reason, decided_on):
+            if await self._mark(group, reason, decided_on, primary):
                 await replacement.Replacement(
                     self._node,
                     self._store,
@@ -200,6 +201,7 @@
                 ).run()
         finally:
             self._active.discard(group)
+            self._noticed.pop(group, None)
 
     async def _answers(self, group):
         """Tell whether the primary answers after all."""
@@ -216,11 +218,10 @@
         self._node.pools.get(primary.id).load.note_answer(clock.now())
         return True
 
-    async def _mark(self, group, reason, decided_on):
+    async def _mark(self, group, reason, decided_on, primary):
         """Write the pending lead; tells whether this VM holds it."""
         key = fleet.make_lead_key(group)
         known = self._node.view.get_lead(group)
-        primary = self._node.primacy.find_primary(group)
         holder = f"{self._node.settings.vm.name}/{self._node.boot}"
         old = primary.id if primary else ""
         if known is not None:
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -113,7 +113,7 @@
         )
         old = found.get(self._lead.target)
         term = _find_term(found.values(), self._lead.term)
-        leader = self._find_leader(found, old)
+        leader = succession.find_leader(self._lead, found)
         if leader is not None:
             return await self._finish(leader, found[leader].term)
         is_leading = old is not None and old.role is desired.Role.PRIMARY
@@ -251,21 +251,6 @@
                     self._node.dialect, target
                 )
 
-    def _find_leader(self, found, old):
-        """Return a target that an earlier order has made primary."""
-        floor = self._lead.term
-        if old is not None:
-            floor = max(floor, old.term)
-        leaders = [
-            name
-            for name, status in found.items()
-            if name != self._lead.target
-            and status is not None
-            and status.role is desired.Role.PRIMARY
-            and (status.term > floor or not self._lead.target)
-        ]
-        return max(leaders, key=lambda name: found[name].term, default=None)
-
     def _list_others(self):
         return [
             item
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -270,3 +270,20 @@
     await trio.sleep(2.5)
     assert is_success(await caller.query("WRITE a 2"))
     assert len(world.duties.orders) == 1
+
+
+@run_world
+async def test_a_done_promotion_is_settled_by_the_next_holder(world, proxy):
+    """As in the Association's incident: the store turned the holder away
+    after its order, and the old primary came back as a replica."""
+    await settle(world)
+    await world.group.promote("i-1")
+    old = world.group.instances["i-0"]
+    old.role = "replica"
+    old.term = world.group.instances["i-1"].term
+    dead = fleet.Lead("i-0", 1, "vm-9/boot", True)
+    world.store.put(LEAD_KEY, membership.encode_record(dead))
+    caller = await world.connect(proxy)
+    await write_until_kept(caller, "after")
+    assert world.store.get(LEAD_KEY)["target"] == "i-1"
+    assert not world.duties.orders
--- a/tests/unit/decisions/test_succession.py
+++ b/tests/unit/decisions/test_succession.py
@@ -117,3 +117,37 @@
 @pytest.mark.parametrize("replicas", [[], [make_replica("a", 5, False)]])
 def test_no_one_is_chosen_without_candidates(replicas):
     assert succession.choose_successor(replicas, None) is None
+
+
+def make_status(role, term):
+    return desired.TargetStatus(role, term, Mark(1, 5), 0, 0.0, 0, 1)
+
+
+def find_leader(**found):
+    lead = fleet.Lead("old", 1, "vm-1/boot", True)
+    return succession.find_leader(lead, found)
+
+
+def test_a_promoted_target_leads_though_the_old_primary_follows_it():
+    """The holder that ordered it could not settle; another goes on."""
+    new = make_status(desired.Role.PRIMARY, 2)
+    follower = make_status(desired.Role.REPLICA, 2)
+    assert find_leader(old=follower, new=new) == "new"
+    assert find_leader(old=None, new=new) == "new"
+
+
+def test_a_primary_of_no_later_term_leads_nothing():
+    stale = make_status(desired.Role.PRIMARY, 1)
+    present = make_status(desired.Role.PRIMARY, 2)
+    assert find_leader(old=None, stale=stale) is None
+    assert find_leader(old=present, stale=present) is None
+
+
+def test_without_a_known_primary_the_newest_one_leads():
+    lead = fleet.Lead("", 0, "vm-1/boot", True)
+    found = {
+        "a": make_status(desired.Role.PRIMARY, 1),
+        "b": make_status(desired.Role.PRIMARY, 3),
+        "c": None,
+    }
+    assert succession.find_leader(lead, found) == "b"
