--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -115,8 +115,7 @@
         if now - self._settled_at.get(group, now - PAUSE_S) < PAUSE_S:
             return
         if reason.is_due and now - since >= self._get_delay(group):
-            self._active.add(group)
-            nursery.start_soon(self._replace, group, reason)
+            self._start(nursery, group, reason)
 
     def _check_pending(self, nursery, group, lead, now):
         """Go on with a pending lead that is ours or was abandoned."""
@@ -131,10 +130,18 @@
         if not is_abandoned:
             limit += succession.TAKEOVER_S
         if now - since >= limit:
-            self._active.add(group)
-            nursery.start_soon(
-                self._replace, group, Reason("taken over", may_return=True)
-            )
+            reason = Reason("taken over", may_return=True)
+            self._start(nursery, group, reason)
+
+    def _start(self, nursery, group, reason):
+        """Start a replacement, decided on the lead as it is now.
+
+        Whoever changes the lead from here on goes before it.
+        """
+        self._active.add(group)
+        revision = self._node.view.get_revision(fleet.make_lead_key(group))
+        primary = self._node.primacy.find_primary(group)
+        nursery.start_soon(self._replace, group, reason, revision, primary)
 
     def _is_alive(self, holder):
         """Tell whether the run that holds a lead is still registered."""
@@ -184,10 +191,7 @@
         load = self._node.pools.get(primary.id).load
         return load.get_silence(now) >= SUSPECT_S
 
-    async def _replace(self, group, reason):
-        # Whoever changed the lead since this decision goes before it.
-        decided_on = self._node.view.get_revision(fleet.make_lead_key(group))
-        primary = self._node.primacy.find_primary(group)
+    async def _replace(self, group, reason, decided_on, primary):
         try:
             if reason.needs_proof and await self._answers(group):
                 return
