Use what is there: one HTTP listener, one record codec, one retry loop

Mended: sharing the measures had dropped the HTTP deployment's latency histograms from two significant digits to one; it has two again.

--- a/src/geraniumridge/_internal/decisions/placement.py
+++ b/src/geraniumridge/_internal/decisions/placement.py
@@ -25,13 +25,6 @@
 writes."""
 
 
-class Placement(typing.NamedTuple):
-    """A target, and the position that its log must have reached."""
-
-    target: desired.Target
-    minimum: records.Mark | None
-
-
 class SessionMark(typing.NamedTuple):
     """Position after a session's last commit.
 
--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -1,7 +1,7 @@
 """Limits of teams over all VMs.
 
 A part of each limit is split evenly: every VM may always use its own
-`Reserve`. The rest is a `MasterBucket` at one VM, the team's limiter,
+reserve. The rest is a `MasterBucket` at one VM, the team's limiter,
 from which the others draw tokens that soon expire.
 """
 
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -10,7 +10,6 @@
 """How long after an outage lapsed targets may take to register again;
 from the platform's description of service discovery."""
 
-
 REMEMBER_S = 60.0
 """How long members and targets that are gone are remembered."""
 
@@ -25,13 +24,6 @@
     domain: str
 
 
-class Departure(typing.NamedTuple):
-    """A member whose entry vanished, and when that was seen."""
-
-    member: fleet.Member
-    seen_at: float
-
-
 class GoneTarget(typing.NamedTuple):
     """A target whose entry vanished, and when that was seen."""
 
@@ -137,12 +129,12 @@
         return self._releases.get(group, {})
 
     def list_departures(self, now, within_s):
-        """Return members that vanished a short time ago, by VM."""
-        return {
-            vm: item
-            for vm, item in self._departures.items()
-            if now - item.seen_at <= within_s
-        }
+        """Return the VMs whose entries vanished a short time ago."""
+        return [
+            vm
+            for vm, seen_at in self._departures.items()
+            if now - seen_at <= within_s
+        ]
 
     def replace(self, now, listing, known_until=-math.inf):
         """Take in a listing of the whole store.
@@ -151,10 +143,10 @@
         ----------
         now : float
             Clock time, in seconds.
-        known_until : float
-            Clock time up to which the picture was complete.
         listing : ports.store.Listing
             All keys; ignored if older than the picture.
+        known_until : float
+            Clock time up to which the picture was complete.
 
         Returns
         -------
@@ -185,10 +177,12 @@
 
     def expire(self, now):
         """Drop targets that did not return, and what is long gone."""
-        for memory in (self._gone_targets, self._departures):
-            for name, item in list(memory.items()):
-                if now - item.seen_at > REMEMBER_S:
-                    del memory[name]
+        for vm, seen_at in list(self._departures.items()):
+            if now - seen_at > REMEMBER_S:
+                del self._departures[vm]
+        for name, item in list(self._gone_targets.items()):
+            if now - item.seen_at > REMEMBER_S:
+                del self._gone_targets[name]
         for target, limit in list(self._lapsing.items()):
             if now >= limit:
                 del self._lapsing[target]
@@ -234,7 +228,7 @@
             self._evacuated.discard(record.domain)
         elif isinstance(record, fleet.Member):
             self._members.pop(record.vm, None)
-            self._departures[record.vm] = Departure(record, now)
+            self._departures[record.vm] = now
         elif isinstance(record, fleet.Release):
             group = fleet.parse_release_group(key)
             self._releases.get(group, {}).pop(record.vm, None)
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -2,6 +2,10 @@
 
 import typing
 
+import msgspec
+
+from geraniumridge._internal.utils import decode
+
 LEADS_PREFIX = "geraniumridge/leads/"
 MEMBERS_PREFIX = "geraniumridge/members/"
 RELEASES_PREFIX = "geraniumridge/releases/"
@@ -70,3 +74,24 @@
     RELEASES_PREFIX: Release,
 }
 """Type of the records under each prefix."""
+
+
+def encode_record(record):
+    """Return the stored form of a record."""
+    return msgspec.json.encode(decode.encode(record))
+
+
+def decode_record(key, value):
+    """Return the record of a key, None if the key is none of ours.
+
+    Raises
+    ------
+    exceptions.SettingsError
+        If a field is missing or of another type.
+    msgspec.DecodeError
+        If the value is not JSON.
+    """
+    for prefix, kind in RECORD_TYPES.items():
+        if key.startswith(prefix):
+            return decode.decode(kind, msgspec.json.decode(value), key)
+    return None
--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -59,12 +59,6 @@
     departure_ms: settings.Seconds = 7_000.0
 
 
-class LogSettings(typing.NamedTuple):
-    """What is logged."""
-
-    level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
-
-
 class ProxySettings(typing.NamedTuple):
     """All settings; `regions` maps failure domains to regions."""
 
@@ -73,7 +67,7 @@
     platform: PlatformSettings
     bounds: BoundSettings = BoundSettings()
     regions: dict[str, str] = {}
-    log: LogSettings = LogSettings()
+    log: settings.LogSettings = settings.LogSettings()
 
 
 def load_proxy_settings(path):
--- a/src/geraniumridge/_internal/network/http.py
+++ b/src/geraniumridge/_internal/network/http.py
@@ -234,6 +234,32 @@
         await self._stream.send_all(data)
 
 
+async def serve(nursery, address, handler, tls=None):
+    """Listen on an address and answer the requests of each connection.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Runs the connections.
+    address : str
+        ``IP:port``.
+    handler : callable
+        Async function from `Request` to `Response`.
+    tls : ssl.SSLContext, optional
+        Server context.
+
+    Returns
+    -------
+    trio.CancelScope
+        Cancel it to close the listener; open connections go on.
+    """
+
+    async def serve_one(stream):
+        await ServerConnection(stream, handler).run()
+
+    return await streams.serve(nursery, address, serve_one, tls)
+
+
 class ClientConnection:
     """One connection to an HTTP server, one request at a time.
 
--- a/src/geraniumridge/_internal/plugins/metrics.py
+++ b/src/geraniumridge/_internal/plugins/metrics.py
@@ -11,4 +11,4 @@
 
     def __init__(self, owner):
         kernel.Plugin.__init__(self, owner)
-        measures.Measures.__init__(self)
+        measures.Measures.__init__(self, measures.FINE_DIGITS)
--- a/src/geraniumridge/_internal/plugins/operators.py
+++ b/src/geraniumridge/_internal/plugins/operators.py
@@ -20,13 +20,10 @@
         tls = streams.make_server_context(
             self._settings.tls, require_peer=True
         )
-        await streams.serve(
-            nursery, self._settings.listen.operators, self._serve, tls
+        await http.serve(
+            nursery, self._settings.listen.operators, self._handle, tls
         )
 
-    async def _serve(self, stream):
-        await http.ServerConnection(stream, self._handle).run()
-
     async def _handle(self, request):
         try:
             page = PAGES.find(request.path)
--- a/src/geraniumridge/_internal/ports/targets.py
+++ b/src/geraniumridge/_internal/ports/targets.py
@@ -33,9 +33,6 @@
     def abort(self):
         """Drop the connection and all that was not delivered."""
 
-    async def close(self):
-        """End the connection in order."""
-
 
 class Dialect(typing.Protocol):
     """How targets are spoken to; texts are those of the proxy itself."""
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -10,7 +10,6 @@
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import control
-from geraniumridge._internal.proxy import membership
 from geraniumridge._internal.proxy import replacement
 from geraniumridge._internal.utils import clock
 from geraniumridge._internal.utils import rendezvous
@@ -50,14 +49,14 @@
     """Why a primary is replaced.
 
     `may_return` tells that the old one may stay if it answers again,
-    `needs_proof` that it has to be asked first, `is_due` that enough
-    time has passed.
+    `needs_proof` that it has to be asked first. `wait_s` is how long
+    the reason must have held, in seconds.
     """
 
     text: str
     may_return: bool = False
     needs_proof: bool = False
-    is_due: bool = True
+    wait_s: float = 0.0
 
 
 class Failover:
@@ -114,7 +113,7 @@
         since = self._noticed.setdefault(group, now)
         if now - self._settled_at.get(group, now - PAUSE_S) < PAUSE_S:
             return
-        if reason.is_due and now - since >= self._get_delay(group):
+        if now - since >= max(reason.wait_s, self._get_delay(group)):
             self._start(nursery, group, reason)
 
     def _check_pending(self, nursery, group, lead, now):
@@ -161,8 +160,7 @@
             return None
         primary = self._node.primacy.find_primary(group)
         if primary is None:
-            is_missed = now - self._noticed.get(group, now) >= MISSING_S
-            return Reason("no primary", is_due=is_missed)
+            return Reason("no primary", wait_s=MISSING_S)
         if not self._has_successor(members, primary):
             return None
         if primary.is_draining:
@@ -193,7 +191,7 @@
 
     async def _replace(self, group, reason, decided_on, primary):
         try:
-            if reason.needs_proof and await self._answers(group):
+            if reason.needs_proof and await self._answers(primary):
                 return
             if await self._mark(group, reason, decided_on, primary):
                 await replacement.Replacement(
@@ -207,11 +205,8 @@
             self._active.discard(group)
             self._noticed.pop(group, None)
 
-    async def _answers(self, group):
-        """Tell whether the primary answers after all."""
-        primary = self._node.primacy.find_primary(group)
-        if primary is None:
-            return False
+    async def _answers(self, primary):
+        """Tell whether a primary answers after all."""
         asked = control.Control(self._node.dialect, primary)
         try:
             status = await asked.inspect()
@@ -234,7 +229,7 @@
             known.term if known else 0, self._node.get_marks(group).term
         )
         lead = fleet.Lead(old, term, holder, True)
-        write = store_port.Write(key, membership.encode_record(lead))
+        write = store_port.Write(key, fleet.encode_record(lead))
         try:
             revision = await self._store.commit({key: decided_on}, [write])
         except exceptions.PlatformError as error:
--- a/src/geraniumridge/_internal/proxy/guard.py
+++ b/src/geraniumridge/_internal/proxy/guard.py
@@ -74,7 +74,6 @@
         self._refused = 0
 
     async def wait_quiet(self, timeout_s):
-        """Wait until no statement runs; tells whether that is so."""
+        """Wait until no statement runs, or the time is over."""
         with trio.move_on_after(timeout_s):
             await self._quiet.wait()
-        return self._running == 0
--- a/src/geraniumridge/_internal/proxy/leads.py
+++ b/src/geraniumridge/_internal/proxy/leads.py
@@ -7,7 +7,6 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
-from geraniumridge._internal.proxy import membership
 from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
@@ -102,7 +101,7 @@
         release = fleet.Release(vm, revision)
         write = store_port.Write(
             fleet.make_release_key(group, vm),
-            membership.encode_record(release),
+            fleet.encode_record(release),
             self._lease(),
         )
         await self._store.commit({}, [write])
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -2,7 +2,6 @@
 
 import logging
 
-import msgspec
 import trio
 
 from geraniumridge._internal.decisions import rates
@@ -11,7 +10,6 @@
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.utils import backoff
 from geraniumridge._internal.utils import clock
-from geraniumridge._internal.utils import decode
 
 logger = logging.getLogger(__name__)
 
@@ -116,12 +114,7 @@
         )
         write = store_port.Write(
             fleet.make_member_key(settings.vm.name),
-            encode_record(member),
+            fleet.encode_record(member),
             self._lease,
         )
         await self._store.commit({}, [write])
-
-
-def encode_record(record):
-    """Return the stored form of a record."""
-    return msgspec.json.encode(decode.encode(record))
--- a/src/geraniumridge/_internal/proxy/pages.py
+++ b/src/geraniumridge/_internal/proxy/pages.py
@@ -1,7 +1,6 @@
 """Pages of one VM for operators and monitoring."""
 
 from geraniumridge._internal.network import http
-from geraniumridge._internal.network import streams
 from geraniumridge._internal.utils import clock
 
 METRICS_PATH = "/metrics"
@@ -23,10 +22,7 @@
 
     async def start(self, nursery, address):
         """Listen on ``IP:port``."""
-        await streams.serve(nursery, address, self._serve)
-
-    async def _serve(self, stream):
-        await http.ServerConnection(stream, self._answer).run()
+        await http.serve(nursery, address, self._answer)
 
     async def _answer(self, request):
         if request.path != METRICS_PATH:
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -10,7 +10,6 @@
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import control
-from geraniumridge._internal.proxy import membership
 from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
@@ -210,7 +209,7 @@
 
     async def _settle(self, target, term):
         lead = fleet.Lead(target, term, self._node.settings.vm.name, False)
-        write = store_port.Write(self._key, membership.encode_record(lead))
+        write = store_port.Write(self._key, fleet.encode_record(lead))
         try:
             await self._store.commit({self._key: self._revision}, [write])
         except exceptions.PlatformError as error:
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -2,7 +2,9 @@
 
 from geraniumridge._internal.decisions import placement
 from geraniumridge._internal.decisions import rates
+from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import statements
 from geraniumridge._internal.proxy import attempt
 from geraniumridge._internal.utils import clock
 
@@ -34,8 +36,9 @@
         tries : patience.Patience
             How long to go on.
         attempt_at : callable
-            Async function of work, plan and tries; returns the final
-            answer, or None to try again.
+            Async function of work, plan and tries; returns the answer,
+            or None to try again. What it raises as not sent, and what
+            the target did not run, is tried again too.
 
         Returns
         -------
@@ -47,9 +50,16 @@
             if plan is None:
                 await tries.pause()
                 continue
-            answer = await attempt_at(work, plan, tries)
-            if answer is not None:
+            try:
+                answer = await attempt_at(work, plan, tries)
+            except exceptions.NotSentError as error:
+                tries.note_not_sent(plan.target.id, str(error))
+                continue
+            if answer is None:
+                continue
+            if answer.outcome not in statements.NOT_RUN:
                 return answer
+            tries.note_refused(plan.target.id, answer)
         return tries.refuse()
 
     def plan(self, work, is_read, excluded):
--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -127,8 +127,7 @@
     async def expire(self):
         """Roll back a transaction that rested for too long."""
         if self._transaction is not None:
-            await self._transaction.roll_back()
-            self._transaction = None
+            await self.close()
             self._has_failed = True
 
     async def close(self):
--- a/src/geraniumridge/_internal/proxy/single.py
+++ b/src/geraniumridge/_internal/proxy/single.py
@@ -33,13 +33,10 @@
         )
 
     async def _try(self, work, plan, tries):
-        """Return the final answer, or None to try again."""
+        """Return the answer, or None to try again."""
         timeout_s = tries.get_timeout_s(work.is_write)
         try:
             result = await self._runner.run(work, plan, timeout_s)
-        except exceptions.NotSentError as error:
-            tries.note_not_sent(plan.target.id, str(error))
-            return None
         except exceptions.ConnectionLostError as error:
             if work.is_write:
                 return statements.Answer(
@@ -48,11 +45,8 @@
             tries.note_run(plan.target.id, str(error))
             return None
         answer = result.answer
-        if answer.is_success:
+        if answer.is_success or answer.outcome in statements.NOT_RUN:
             return answer
-        if answer.outcome in statements.NOT_RUN:
-            tries.note_refused(plan.target.id, answer)
-            return None
         if work.is_write or not tries.has_attempts:
             return answer
         tries.note_run(plan.target.id, answer.outcome.value)
--- a/src/geraniumridge/_internal/proxy/transaction.py
+++ b/src/geraniumridge/_internal/proxy/transaction.py
@@ -84,9 +84,6 @@
         timeout_s = tries.get_timeout_s(self._has_written)
         try:
             result = await self._runner.run(work, plan, timeout_s)
-        except exceptions.NotSentError as error:
-            tries.note_not_sent(plan.target.id, str(error))
-            return None
         except exceptions.ConnectionLostError as error:
             return self._fail(work.statement, str(error))
         answer = result.answer
@@ -98,8 +95,7 @@
         if result.pooled is not None:
             await self._runner.roll_back(result.pooled)
         if answer.outcome in statements.NOT_RUN:
-            tries.note_refused(plan.target.id, answer)
-            return None
+            return answer
         return self._conclude(work.statement, answer)
 
     async def _run_next(self, statement):
--- a/src/geraniumridge/_internal/utils/measures.py
+++ b/src/geraniumridge/_internal/utils/measures.py
@@ -6,9 +6,12 @@
 
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
-SIGNIFICANT_DIGITS = 1
+COARSE_DIGITS = 1
 """Digits kept of a latency; with one, a series takes a few KB."""
 
+FINE_DIGITS = 2
+"""Digits kept where percentiles of many VMs are merged."""
+
 MAX_TEAMS = 200
 """Teams with series of their own; the rest share one."""
 
@@ -28,9 +31,15 @@
     """What a daemon measures of itself.
 
     Names of counters may carry one label after a colon.
+
+    Parameters
+    ----------
+    digits : int, optional
+        Significant digits that histograms keep.
     """
 
-    def __init__(self):
+    def __init__(self, digits=COARSE_DIGITS):
+        self._digits = digits
         self._counters = {}
         self._gauges = {}
         self._histograms = {}
@@ -54,9 +63,7 @@
         series = Series(self._bound_team(team), kind)
         found = self._histograms.get(series)
         if found is None:
-            found = histogram.HdrHistogram(
-                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
-            )
+            found = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, self._digits)
             self._histograms[series] = found
         found.record_value(max(LOWEST_US, int(seconds * 1e6)))
 
--- a/standins/duties.py
+++ b/standins/duties.py
@@ -4,7 +4,6 @@
 import trio
 
 from geraniumridge._internal.network import http
-from geraniumridge._internal.network import streams
 
 
 class Duties:
@@ -23,10 +22,7 @@
 
     async def start(self, nursery, address):
         """Listen on ``IP:port``."""
-        await streams.serve(nursery, address, self._serve)
-
-    async def _serve(self, stream):
-        await http.ServerConnection(stream, self._answer).run()
+        await http.serve(nursery, address, self._answer)
 
     async def _answer(self, request):
         body = msgspec.json.decode(request.body)
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -13,7 +13,6 @@
 import trio
 
 from geraniumridge._internal.network import http
-from geraniumridge._internal.network import streams
 
 PAGE_ITEMS = 500
 READ_ONLY_PREFIXES = ("op/", "servers/")
@@ -39,7 +38,7 @@
     async def start(self, nursery, address):
         """Listen on ``IP:port``."""
         nursery.start_soon(self._expire_leases)
-        await streams.serve(nursery, address, self._serve)
+        await http.serve(nursery, address, self._answer)
 
     def put(self, key, data, lease=0):
         """Write a value as the platform or the operator; bytes or JSON."""
@@ -107,9 +106,6 @@
             if self.items[key]["lease"] == lease:
                 self.delete(key)
 
-    async def _serve(self, stream):
-        await http.ServerConnection(stream, self._answer).run()
-
     async def _answer(self, request):
         if self.refusal == "silent":
             await trio.sleep_forever()
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -6,7 +6,6 @@
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import failover
-from geraniumridge._internal.proxy import membership
 from lib import proxies
 from lib.proxies import is_success
 from lib.proxies import run_world
@@ -22,6 +21,16 @@
     await trio.sleep(failover.SETTLE_S + 0.2)
 
 
+async def wait_settled(world, timeout_s=5.0):
+    """Wait until the group has a lead that is not pending."""
+
+    def is_settled():
+        lead = world.store.get(LEAD_KEY)
+        return lead is not None and not lead["is_pending"]
+
+    await proxies.wait_until(is_settled, timeout_s)
+
+
 async def write_until_kept(caller, item, timeout_s=FAILOVER_S):
     """Write until the write is acknowledged."""
     with trio.fail_after(timeout_s):
@@ -125,7 +134,7 @@
 async def test_a_replacement_of_a_dead_holder_is_finished(world, proxy):
     await settle(world)
     dead = fleet.Lead("i-0", 1, "vm-9/boot", True)
-    world.store.put(LEAD_KEY, membership.encode_record(dead))
+    world.store.put(LEAD_KEY, fleet.encode_record(dead))
     caller = await world.connect(proxy)
     await write_until_kept(caller, "after")
     assert world.store.get(LEAD_KEY)["is_pending"] is False
@@ -136,10 +145,8 @@
     """A replacement that was taken over ends without a promotion."""
     await settle(world)
     dead = fleet.Lead("i-0", 1, "vm-9/boot", True)
-    world.store.put(LEAD_KEY, membership.encode_record(dead))
-    await proxies.wait_until(
-        lambda: not world.store.get(LEAD_KEY)["is_pending"], FAILOVER_S
-    )
+    world.store.put(LEAD_KEY, fleet.encode_record(dead))
+    await wait_settled(world, FAILOVER_S)
     assert world.store.get(LEAD_KEY)["target"] == "i-0"
     assert not world.duties.orders
     assert all(not item.held_term for item in world.group.instances.values())
@@ -150,11 +157,7 @@
     await settle(world)
     first = world.group.instances["i-0"]
     world.register(first, state="draining")
-    await proxies.wait_until(
-        lambda: not (world.store.get(LEAD_KEY) or {"is_pending": True})[
-            "is_pending"
-        ]
-    )
+    await wait_settled(world)
     world.register(first)
     led = world.group.instances[world.store.get(LEAD_KEY)["target"]]
     await trio.sleep(failover.PAUSE_S)
@@ -218,7 +221,7 @@
             assert is_success(await caller.query("WRITE a 1"))
             holder = f"vm-1/{proxy.node.boot}x"
             lead = fleet.Lead("i-0", 1, holder, True)
-            write = store_port.Write(LEAD_KEY, membership.encode_record(lead))
+            write = store_port.Write(LEAD_KEY, fleet.encode_record(lead))
             world.store.put(LEAD_KEY, write.value)
             await trio.sleep(0.1)
             lines = await caller.query("WRITE a 2")
@@ -257,11 +260,7 @@
     await settle(world)
     first = world.group.instances["i-0"]
     world.register(first, state="draining")
-    await proxies.wait_until(
-        lambda: not (world.store.get(LEAD_KEY) or {"is_pending": True})[
-            "is_pending"
-        ]
-    )
+    await wait_settled(world)
     led = world.group.instances[world.store.get(LEAD_KEY)["target"]]
     world.store.delete(f"servers/{led.name}")
     await trio.sleep(0.3)
@@ -282,7 +281,7 @@
     old.role = "replica"
     old.term = world.group.instances["i-1"].term
     dead = fleet.Lead("i-0", 1, "vm-9/boot", True)
-    world.store.put(LEAD_KEY, membership.encode_record(dead))
+    world.store.put(LEAD_KEY, fleet.encode_record(dead))
     caller = await world.connect(proxy)
     await write_until_kept(caller, "after")
     assert world.store.get(LEAD_KEY)["target"] == "i-1"
--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -104,7 +104,6 @@
         self.store = kvstore.KvStore()
         self.group = linegroup.Group("ledger")
         self.duties = duties.Duties([self.group])
-        self.proxies = {}
         self._store_address = find_address()
         self._duties_address = find_address()
 
@@ -142,7 +141,6 @@
         settings = self.make_settings(name, domain)
         made = RunningProxy(self, settings)
         await self.nursery.start(made.run)
-        self.proxies[name] = made
         await wait_until(lambda: made.node.primacy.is_member())
         # The buckets of limits start empty.
         await trio.sleep(0.2)
@@ -169,7 +167,7 @@
 
 
 class RunningProxy:
-    """One proxy and the scope that ends it at once."""
+    """One proxy with its settings and its client of the store."""
 
     def __init__(self, world, settings):
         self.settings = settings
@@ -185,24 +183,16 @@
             self.store,
             duty_client.DutyClient(settings.platform.duties),
         )
-        self.scope = trio.CancelScope()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Run until killed."""
+        """Run until the world ends."""
         listen = self.settings.listen
-        with self.scope:
-            async with trio.open_nursery() as nursery:
-                await self.proxy.start(nursery)
-                await front.ReadyProbe(self.proxy).start(nursery, listen.ready)
-                await front.LineFront(self.proxy).start(
-                    nursery, listen.callers
-                )
-                task_status.started()
-                await trio.sleep_forever()
-
-    def kill(self):
-        """End it without any goodbye."""
-        self.scope.cancel()
+        async with trio.open_nursery() as nursery:
+            await self.proxy.start(nursery)
+            await front.ReadyProbe(self.proxy).start(nursery, listen.ready)
+            await front.LineFront(self.proxy).start(nursery, listen.callers)
+            task_status.started()
+            await trio.sleep_forever()
 
 
 class Caller:
--- a/tests/unit/platform/test_records.py
+++ b/tests/unit/platform/test_records.py
@@ -6,7 +6,6 @@
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
-from geraniumridge._internal.proxy import membership
 from geraniumridge_platform import records
 from lib import proxies
 
@@ -88,7 +87,7 @@
     ],
 )
 def test_own_records_survive_the_store(key, record):
-    stored = membership.encode_record(record)
+    stored = fleet.encode_record(record)
     assert records.decode_record(key, stored) == record
 
 
