--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -54,8 +54,10 @@
         self._entries = {}
         self._state = None
         self._targets = {}
+        self._groups = {}
         self._evacuated = set()
         self._members = {}
+        self._member_changes = 0
         self._releases = {}
         self._departures = {}
         self._lapsing = {}
@@ -88,6 +90,11 @@
         """Live `fleet.Member` by VM."""
         return self._members
 
+    @property
+    def member_changes(self):
+        """Number of changes of the members so far."""
+        return self._member_changes
+
     @property
     def whole_since(self):
         """Since when no change can have been missed; None if never."""
@@ -105,7 +112,7 @@
 
     def list_group(self, group):
         """Return the registered targets of a group."""
-        return [item for item in self._targets.values() if item.group == group]
+        return list(self._groups.get(group, {}).values())
 
     def find_gone(self, name, now, within_s):
         """Return a target whose entry vanished shortly ago, or None."""
@@ -210,12 +217,12 @@
         if isinstance(record, desired.DesiredState):
             self._state = record
         elif isinstance(record, desired.Target):
-            self._targets[record.id] = record
-            self._lapsing.pop(record.id, None)
+            self._store_target(record)
         elif isinstance(record, Evacuation):
             self._evacuated.add(record.domain)
         elif isinstance(record, fleet.Member):
             self._members[record.vm] = record
+            self._member_changes += 1
             self._departures.pop(record.vm, None)
         elif isinstance(record, fleet.Release):
             group = fleet.parse_release_group(key)
@@ -228,11 +235,20 @@
             self._evacuated.discard(record.domain)
         elif isinstance(record, fleet.Member):
             self._members.pop(record.vm, None)
+            self._member_changes += 1
             self._departures[record.vm] = now
         elif isinstance(record, fleet.Release):
             group = fleet.parse_release_group(key)
             self._releases.get(group, {}).pop(record.vm, None)
 
+    def _store_target(self, target):
+        known = self._targets.get(target.id)
+        if known is not None and known.group != target.group:
+            del self._groups[known.group][target.id]
+        self._targets[target.id] = target
+        self._groups.setdefault(target.group, {})[target.id] = target
+        self._lapsing.pop(target.id, None)
+
     def _forget_target(self, now, target):
         if self._is_returning(now):
             limit = self._returned_at + RETURN_GRACE_S
@@ -243,6 +259,7 @@
     def _drop_target(self, now, name):
         target = self._targets.pop(name, None)
         if target is not None:
+            del self._groups[target.group][name]
             self._gone_targets[name] = GoneTarget(target, now)
 
     def _is_returning(self, now):
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -151,7 +151,7 @@
             await trio.sleep(CHECK_S)
             now = clock.now()
             self._node.view.expire(now)
-            self._node.pools.refresh(self._node.view, now)
+            self._node.pools.close_unused(self._node.view, now)
             self._node.limits.refresh()
             self._leads.check(self._nursery)
             if not self.is_stopping:
@@ -163,6 +163,7 @@
             await self._node.limits.keep_pledges()
 
     def _note_change(self):
+        self._node.pools.set_limits(self._node.view)
         self._leads.check(self._nursery)
         self._changed.set()
         self._changed = trio.Event()
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -89,6 +89,8 @@
         self._peers = peers
         self._teams = {}
         self._masters = {}
+        self._limiters = {}
+        self._limiters_of = None
         self._waiting = {}
         self._next_number = 0
         peers.handle(datagrams.messages.Draw, self._answer_draw)
@@ -140,7 +142,7 @@
             if team not in self._masters:
                 self._masters[team] = rates.MasterBucket(now)
             self._masters[team].fill(_get_drawn(plan), now)
-        for known in (self._teams, self._masters):
+        for known in (self._teams, self._masters, self._limiters):
             for team in known.keys() - state.teams.keys():
                 del known[team]
 
@@ -196,8 +198,18 @@
         return state.take_pledged(now, is_registered)
 
     def _find_limiter(self, team):
-        """Return the member that limits a team, or None."""
-        return rates.find_limiter(team, self._node.view.members)
+        """Return the member that limits a team, or None.
+
+        Looked up often and by each team, so kept while the members
+        stay the same.
+        """
+        view = self._node.view
+        if view.member_changes != self._limiters_of:
+            self._limiters_of = view.member_changes
+            self._limiters.clear()
+        if team not in self._limiters:
+            self._limiters[team] = rates.find_limiter(team, view.members)
+        return self._limiters[team]
 
     async def _ask(self, team, wanted):
         """Return the limiter's grant, None if it is silent or none."""
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -204,8 +204,8 @@
             self._pools[target_id] = pool
         return pool
 
-    def refresh(self, view, now):
-        """Follow the view: limits, and targets that are gone."""
+    def set_limits(self, view):
+        """Derive the own part of each target's connections."""
         members = len(view.members)
         plans = view.state.groups if view.state else {}
         for target in view.targets.values():
@@ -213,6 +213,9 @@
             if plan is not None:
                 pool = self.get(target.id)
                 pool.set_limits(plan.max_connections, members)
+
+    def close_unused(self, view, now):
+        """Close connections idle for long, or to targets that are gone."""
         for target_id, pool in list(self._pools.items()):
             pool.close_idle(now)
             if target_id not in view.targets:
--- a/src/geraniumridge/_internal/utils/rendezvous.py
+++ b/src/geraniumridge/_internal/utils/rendezvous.py
@@ -25,12 +25,13 @@
     list of str
         The candidates; removing one keeps the order of the others.
     """
-    return sorted(
-        nodes, key=lambda node: (_weight(node, key), node), reverse=True
-    )
+    return sorted(nodes, key=_make_order(key), reverse=True)
 
 
 def choose_node(key, nodes):
     """Return the owner of a key, or None without candidates."""
-    ranked = rank_nodes(key, nodes)
-    return ranked[0] if ranked else None
+    return max(nodes, key=_make_order(key), default=None)
+
+
+def _make_order(key):
+    return lambda node: (_weight(node, key), node)
--- a/tests/unit/decisions/test_view.py
+++ b/tests/unit/decisions/test_view.py
@@ -152,3 +152,15 @@
         0.0, make_listing(5, Item("s/a", mine, 4), Item("s/b", other, 5))
     )
     assert picture.list_group("ledger") == [mine]
+
+
+def test_a_target_that_changes_its_group_is_listed_once():
+    picture = make_view()
+    target = fleets.make_target("a")
+    picture.replace(0.0, make_listing(5, Item("s/a", target, 5)))
+    moved = target._replace(group="other")
+    picture.apply(1.0, make_changes(6, Item("s/a", moved, 6)))
+    assert picture.list_group("ledger") == []
+    assert picture.list_group("other") == [moved]
+    picture.apply(2.0, make_changes(7, Item("s/a", None, 7)))
+    assert picture.list_group("other") == []
