Wait less for a silent minority before a replacement

Ruled out: a shorter bound for all (a store that is down for 3 s would stop every primary); majorities by domain (a domain may hold half). Change: knowledge older than 2.4 s counts only while more than half of the members say that they know of no newer lead. A replacement whose awaited VMs are at most half of the members that were there all the time waits 2.6 s instead of 4.7 s.

--- a/src/geraniumridge/_internal/decisions/primacy.py
+++ b/src/geraniumridge/_internal/decisions/primacy.py
@@ -1,11 +1,15 @@
 """Which target is a group's primary, and whether it may be used."""
 
+from geraniumridge._internal.decisions import support as support_decisions
 from geraniumridge._internal.models import desired
 
 EVIDENCE_S = 4.5
-"""Age up to which knowledge of the store shows that no replacement of
-a primary has begun; whoever replaces one waits this long for silent
-VMs. Short outages of the store fit in."""
+"""Age up to which knowledge of the store may show that no replacement
+of a primary has begun. Short outages of the store fit in."""
+
+UNSUPPORTED_S = 2.4
+"""Age from which other VMs must bear the knowledge out. Two watches
+of the store and the way of their answers fit in."""
 
 CLOCK_MARGIN_S = 0.2
 """Added to waits for others' evidence, for scheduling delays."""
@@ -24,28 +28,40 @@
         The picture of the store.
     freshness : decisions.freshness.Freshness
         Age of the picture.
+    support : decisions.support.Support
+        What other VMs say of the leads.
     gone_s : float
         How long a primary is used on after its entry vanished, in
         seconds; it may only have lost the store.
     """
 
-    def __init__(self, vm, boot, view, freshness, gone_s):
+    def __init__(self, vm, boot, view, freshness, support, gone_s):
         self._gone_s = gone_s
         self._vm = vm
         self._boot = boot
         self._view = view
         self._freshness = freshness
+        self._support = support
 
     def is_member(self):
         """Tell whether this run's entry stands in the view."""
         member = self._view.members.get(self._vm)
         return member is not None and member.boot == self._boot
 
-    def has_evidence(self, now):
-        """Tell whether the view may be relied on for primaries."""
+    def has_evidence(self, group, now):
+        """Tell whether the view may be relied on for a primary."""
         if not self.is_member():
             return False
-        return self._freshness.is_within(now, EVIDENCE_S)
+        age_s = self._freshness.get_age(now)
+        if age_s > EVIDENCE_S:
+            return False
+        return age_s <= UNSUPPORTED_S or self._is_supported(group, now)
+
+    def _is_supported(self, group, now):
+        members = self._view.members
+        if len(members) > support_decisions.MAX_MEMBERS:
+            return True
+        return self._support.has_majority(group, self._vm, members, now)
 
     def find_primary(self, group):
         """Return the `desired.Target` that leads a group, or None."""
@@ -58,7 +74,7 @@
 
     def find_usable(self, group, now):
         """Return the primary if it may be used now, or None."""
-        if not self.has_evidence(now):
+        if not self.has_evidence(group, now):
             return None
         return self.find_primary(group)
 
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -3,6 +3,7 @@
 import typing
 
 from geraniumridge._internal.decisions import primacy
+from geraniumridge._internal.decisions import support
 from geraniumridge._internal.models import desired
 
 TAKEOVER_S = 6.0
@@ -24,38 +25,84 @@
     is_eligible: bool
 
 
-def list_awaited(view, group, revision, marked_at, now):
-    """Return the VMs that may still rely on the replaced primary.
+class Fence:
+    """Who may still rely on a primary that is being replaced.
 
     Parameters
     ----------
-    view : decisions.view.View
-        A picture at least as new as the pending lead.
     group : str
         The group.
     revision : int
         Revision of its pending lead.
     marked_at : float
         Clock time by which the store had acknowledged it, in seconds.
-    now : float
-        Clock time, in seconds.
-
-    Returns
-    -------
-    set of str or None
-        Empty once nobody can; None if it is not known who they are.
     """
-    if now - marked_at > WAIT_S:
-        return set()
-    if view.whole_since is None or marked_at - view.whole_since < WAIT_S:
-        return None
-    departed = view.list_departures(now, WAIT_S + now - marked_at)
-    releases = view.list_releases(group)
-    return {
-        vm
-        for vm in [*view.members, *departed]
-        if vm not in releases or releases[vm].revision != revision
-    }
+
+    def __init__(self, group, revision, marked_at):
+        self._group = group
+        self._revision = revision
+        self._marked_at = marked_at
+        self._outvoted_at = None
+
+    def is_closed(self, view, now):
+        """Tell whether no VM can use the primary any more.
+
+        Parameters
+        ----------
+        view : decisions.view.View
+            A picture at least as new as the pending lead.
+        now : float
+            Clock time, in seconds.
+        """
+        if now - self._marked_at > WAIT_S:
+            return True
+        awaited = self.list_awaited(view, now)
+        if awaited is None:
+            return False
+        if not awaited:
+            return True
+        self._note_vote(view, awaited, now)
+        return self._is_outvoted(now)
+
+    def list_awaited(self, view, now):
+        """Return the VMs that have not released.
+
+        Returns
+        -------
+        set of str or None
+            None if it is not known who they are.
+        """
+        whole_since = view.whole_since
+        if whole_since is None or self._marked_at - whole_since < WAIT_S:
+            return None
+        releases = view.list_releases(self._group)
+        return {
+            vm
+            for vm in self._list_everyone(view, now)
+            if vm not in releases or releases[vm].revision != self._revision
+        }
+
+    def _list_everyone(self, view, now):
+        since = self._marked_at - WAIT_S
+        return [*view.members, *view.list_departures(now, now - since)]
+
+    def _note_vote(self, view, awaited, now):
+        if self._outvoted_at is not None:
+            return
+        everyone = self._list_everyone(view, now)
+        lasting = view.list_lasting(self._marked_at - WAIT_S)
+        if support.is_outvoted(awaited, everyone, lasting):
+            self._outvoted_at = now
+
+    def _is_outvoted(self, now):
+        """Tell whether the support of silent VMs has lapsed as well."""
+        if self._outvoted_at is None:
+            return False
+        lapsed_at = max(
+            self._marked_at + primacy.UNSUPPORTED_S,
+            self._outvoted_at + support.SUPPORT_S,
+        )
+        return now - lapsed_at > primacy.CLOCK_MARGIN_S
 
 
 def find_leader(lead, found):
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -58,6 +58,8 @@
         self._evacuated = set()
         self._members = {}
         self._member_changes = 0
+        self._written_at = {}
+        self._leads = {}
         self._releases = {}
         self._departures = {}
         self._lapsing = {}
@@ -143,6 +145,16 @@
             if now - seen_at <= within_s
         ]
 
+    def list_lasting(self, since):
+        """Return the members whose entries have stood since a time."""
+        return [vm for vm in self._members if self._written_at[vm] <= since]
+
+    def list_led_after(self, revision):
+        """Return the groups whose leads are newer than a revision."""
+        return [
+            group for group, item in self._leads.items() if item > revision
+        ]
+
     def replace(self, now, listing, known_until=-math.inf):
         """Take in a listing of the whole store.
 
@@ -206,14 +218,14 @@
         if known is not None and type(record) is not type(known.record):
             self._forget(now, item.key, known.record)
         self._entries[item.key] = Entry(item.revision, record)
-        self._store(item.key, record)
+        self._store(now, item, record)
 
     def _remove(self, now, key):
         known = self._entries.pop(key, None)
         if known is not None:
             self._forget(now, key, known.record)
 
-    def _store(self, key, record):
+    def _store(self, now, item, record):
         if isinstance(record, desired.DesiredState):
             self._state = record
         elif isinstance(record, desired.Target):
@@ -223,9 +235,13 @@
         elif isinstance(record, fleet.Member):
             self._members[record.vm] = record
             self._member_changes += 1
+            self._written_at[record.vm] = now
             self._departures.pop(record.vm, None)
+        elif isinstance(record, fleet.Lead):
+            group = fleet.parse_lead_group(item.key)
+            self._leads[group] = item.revision
         elif isinstance(record, fleet.Release):
-            group = fleet.parse_release_group(key)
+            group = fleet.parse_release_group(item.key)
             self._releases.setdefault(group, {})[record.vm] = record
 
     def _forget(self, now, key, record):
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -53,6 +53,11 @@
     return f"{LEADS_PREFIX}{group}"
 
 
+def parse_lead_group(key):
+    """Return the group that a lead's key belongs to."""
+    return key.removeprefix(LEADS_PREFIX)
+
+
 def make_member_key(vm):
     """Return the store's key of a VM."""
     return f"{MEMBERS_PREFIX}{vm}"
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -22,7 +22,12 @@
 """Longest datagram that is read."""
 
 _FACTORY = cybin.TCyBinaryProtocolFactory()
-_KINDS = (messages.Draw, messages.Grant)
+_KINDS = (
+    messages.Draw,
+    messages.Grant,
+    messages.Doubt,
+    messages.Standing,
+)
 _NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 
 
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -18,3 +18,19 @@
   4: required i32 retry_ms
   5: required i32 pledge
 }
+
+/** Asks a VM whether it knows of leads newer than a revision of the
+    store. */
+struct Doubt {
+  1: required i64 number
+  2: required i64 revision
+}
+
+/** Answers a doubt with the groups that have newer leads. `is_whole`
+    is false where there are too many to name. */
+struct Standing {
+  1: required i64 number
+  2: required string vm
+  3: required list<string> groups
+  4: required bool is_whole
+}
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -230,7 +230,10 @@
             guard.note_refused()
         if not work.is_write or not answer.is_success:
             return answer
-        if not is_current or not self._node.primacy.has_evidence(clock.now()):
+        has_evidence = self._node.primacy.has_evidence(
+            work.route.group, clock.now()
+        )
+        if not is_current or not has_evidence:
             return answer._replace(
                 outcome=statements.Outcome.IN_DOUBT,
                 detail="the primary was replaced meanwhile",
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -14,6 +14,7 @@
 from geraniumridge._internal.proxy import limits
 from geraniumridge._internal.proxy import membership
 from geraniumridge._internal.proxy import session
+from geraniumridge._internal.proxy import supporters
 from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
@@ -62,6 +63,7 @@
             f"{node.settings.vm.ip}:{node.settings.listen.first_peer_port}"
         )
         node.limits = limits.Limits(node, self._peers)
+        self._supporters = supporters.Supporters(node, self._peers)
 
     @property
     def is_stopping(self):
@@ -82,7 +84,7 @@
         nursery.start_soon(self._follower.run)
         nursery.start_soon(self._membership.run)
         nursery.start_soon(self._check)
-        nursery.start_soon(self._keep_pledges)
+        nursery.start_soon(self._tell_peers)
 
     async def open_session(self, database, key):
         """Return a new session and None, or None and its refusal."""
@@ -157,10 +159,11 @@
             if not self.is_stopping:
                 self._failover.check(self._nursery)
 
-    async def _keep_pledges(self):
+    async def _tell_peers(self):
         while True:
             await trio.sleep(CHECK_S)
             await self._node.limits.keep_pledges()
+            await self._supporters.ask()
 
     def _note_change(self):
         self._node.pools.set_limits(self._node.view)
--- a/src/geraniumridge/_internal/proxy/leads.py
+++ b/src/geraniumridge/_internal/proxy/leads.py
@@ -44,14 +44,18 @@
         state = self._node.view.state
         if state is None:
             return
-        has_evidence = self._node.primacy.has_evidence(clock.now())
         for group in state.groups:
             guard = self._node.get_guard(group)
-            if not has_evidence and guard.target is not None:
-                self._give_up(group, guard, "evidence ran out")
+            self._check_evidence(group, guard)
             self._check_lead(nursery, group)
             self._check_change(group, guard)
 
+    def _check_evidence(self, group, guard):
+        if guard.target is None:
+            return
+        if not self._node.primacy.has_evidence(group, clock.now()):
+            self._give_up(group, guard, "evidence ran out")
+
     def _check_lead(self, nursery, group):
         lead = self._node.view.get_lead(group)
         if lead is None or not lead.is_pending:
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -7,6 +7,7 @@
 from geraniumridge._internal.decisions import freshness
 from geraniumridge._internal.decisions import marks
 from geraniumridge._internal.decisions import primacy
+from geraniumridge._internal.decisions import support
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.proxy import guard
 from geraniumridge._internal.proxy import pool
@@ -44,11 +45,13 @@
         self.dialect = dialect
         self.freshness = freshness.Freshness()
         self.view = view.View(decode)
+        self.support = support.Support()
         self.primacy = primacy.Primacy(
             settings.vm.name,
             boot,
             self.view,
             self.freshness,
+            self.support,
             settings.bounds.departure_ms / 1000 * GONE_SHARE,
         )
         self.pools = pool.Pools(dialect)
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -60,7 +60,6 @@
         self._key = fleet.make_lead_key(group)
         self._lead = node.view.get_lead(group)
         self._revision = node.view.get_revision(self._key)
-        self._marked_at = clock.now()
         self._may_return = may_return
         self._controls = {}
 
@@ -88,21 +87,17 @@
         return self._node.view.get_revision(self._key) != self._revision
 
     async def _wait_released(self):
-        while True:
-            now = clock.now()
-            awaited = succession.list_awaited(
-                self._node.view,
-                self._group,
-                self._revision,
-                self._marked_at,
-                now,
-            )
-            if awaited is not None and not awaited:
-                break
+        marked_at = clock.now()
+        fence = succession.Fence(self._group, self._revision, marked_at)
+        while not fence.is_closed(self._node.view, clock.now()):
             if self._is_overtaken():
                 return
             await trio.sleep(POLL_S)
-        self._log("lead released", waited_s=round(now - self._marked_at, 3))
+        waited_s = round(clock.now() - marked_at, 3)
+        silent = fence.list_awaited(self._node.view, clock.now())
+        self._log(
+            "lead released", waited_s=waited_s, silent=sorted(silent or ())
+        )
 
     async def _try(self):
         """Make one round; tells whether the lead is settled."""
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -2,6 +2,8 @@
 
 import trio
 
+from geraniumridge._internal.decisions import primacy
+from geraniumridge._internal.decisions import rates
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
@@ -192,6 +194,42 @@
     trio.run(main)
 
 
+def test_a_silent_minority_delays_a_replacement_little():
+    """The others' releases leave the one that is cut off no support."""
+
+    async def main():
+        async with proxies.open_world() as world:
+            members = [await world.add_proxy(f"vm-{n}") for n in range(3)]
+            # Entries are written a second time once VMs are settled.
+            await trio.sleep(rates.JOIN_S + succession.WAIT_S + 1)
+            caller = await world.connect(members[0])
+            assert is_success(await caller.query("WRITE a 1"))
+            members[0].store.is_cut = True
+            started = trio.current_time()
+            world.register(world.group.instances["i-0"], state="draining")
+            await proxies.wait_until(lambda: world.duties.orders)
+            assert trio.current_time() - started < succession.WAIT_S - 1
+            ran = len(world.group.instances["i-0"].ran)
+            assert not is_success(await caller.query("WRITE a 2"))
+            assert len(world.group.instances["i-0"].ran) == ran
+
+    trio.run(main)
+
+
+def test_who_loses_the_store_uses_a_primary_while_others_bear_it_out():
+    async def main():
+        async with proxies.open_world() as world:
+            members = [await world.add_proxy(f"vm-{n}") for n in range(3)]
+            caller = await world.connect(members[0])
+            members[0].store.is_cut = True
+            await trio.sleep(primacy.UNSUPPORTED_S + 0.6)
+            assert is_success(await caller.query("WRITE a 1"))
+            await trio.sleep(primacy.EVIDENCE_S - primacy.UNSUPPORTED_S)
+            assert not is_success(await caller.query("WRITE a 2"))
+
+    trio.run(main)
+
+
 def test_all_members_release_and_no_time_is_lost():
     async def main():
         async with proxies.open_world() as world:
--- a/tests/unit/decisions/test_fencing.py
+++ b/tests/unit/decisions/test_fencing.py
@@ -1,10 +1,12 @@
 """Fencing as a state machine: who may still use a replaced primary.
 
-VMs ask the store and get answers late, lose their entries, start anew,
-release, or stand still. Whenever the holder finds that nobody is
-awaited any more, no VM may find the old primary usable, now or later.
+VMs ask the store and each other and get answers late, lose their
+entries, start anew, release, or stand still. Whenever the holder finds
+the fence closed, no VM may find the old primary usable, now or later.
 """
 
+import typing
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -12,6 +14,7 @@
 from geraniumridge._internal.decisions import freshness
 from geraniumridge._internal.decisions import primacy
 from geraniumridge._internal.decisions import succession
+from geraniumridge._internal.decisions import support
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
@@ -19,12 +22,23 @@
 from lib import fleets
 
 HOLDER = "vm-0"
-OTHER = "vm-1"
-VMS = [HOLDER, OTHER]
+OTHERS = ["vm-1", "vm-2"]
+SILENT = "vm-2"
+VMS = [HOLDER, *OTHERS]
 LEAD_KEY = fleet.make_lead_key("ledger")
 OLD = fleets.make_target("old", role=desired.Role.PRIMARY)
 
 
+class Doubt(typing.NamedTuple):
+    """A question on its way from one VM to another."""
+
+    asker: str
+    boot: str
+    member: str
+    asked_at: float
+    revision: int
+
+
 class Vm:
     """One run of a VM: the real decisions on its own picture."""
 
@@ -33,13 +47,14 @@
         self.boot = boot
         self.view = view.View(lambda key, value: value)
         self.freshness = freshness.Freshness()
+        self.support = support.Support()
         self.primacy = primacy.Primacy(
-            name, boot, self.view, self.freshness, gone_s=4.0
+            name, boot, self.view, self.freshness, self.support, gone_s=4.0
         )
         self.asked_at = None
 
 
-class Fencing(stateful.RuleBasedStateMachine):
+class World:
     """The store, the VMs and the holder of one replacement."""
 
     def __init__(self):
@@ -47,14 +62,17 @@
         self.now = 100.0
         self.log = []
         self.keys = {}
-        self.marked_at = None
+        self.doubts = []
+        self.standings = []
+        self.fence = None
         self.pending = 0
         self.is_fenced = False
         self.put("s/old", OLD)
         self.vms = {}
         for name in VMS:
             self.start(name)
-        # Long enough for the holder to know who has left.
+        self.sync(HOLDER)
+        # Long enough for the holder to know who was there and who left.
         self.now += 2 * succession.WAIT_S
         for name in VMS:
             self.sync(name)
@@ -79,15 +97,9 @@
         member = fleets.make_member(name, boot)
         self.put(fleet.make_member_key(name), member)
 
-    @stateful.rule(seconds=st.floats(0.01, 2.0))
-    def pass_time(self, seconds):
-        self.now += seconds
-
-    @stateful.rule(name=st.sampled_from(VMS))
     def ask(self, name):
         self.vms[name].asked_at = self.now
 
-    @stateful.rule(name=st.sampled_from(VMS))
     def answer(self, name):
         vm = self.vms[name]
         if vm.asked_at is None:
@@ -103,31 +115,23 @@
         self.ask(name)
         self.answer(name)
 
-    @stateful.rule()
-    def lose_entry(self):
-        self.put(fleet.make_member_key(OTHER), None)
-
-    @stateful.rule()
-    def register(self):
-        member = fleets.make_member(OTHER, self.vms[OTHER].boot)
-        self.put(fleet.make_member_key(OTHER), member)
+    def doubt(self, asker, member):
+        vm = self.vms[asker]
+        self.doubts.append(
+            Doubt(asker, vm.boot, member, self.now, vm.view.revision)
+        )
 
-    @stateful.rule(name=st.sampled_from(VMS))
-    def restart(self, name):
-        self.start(name)
-        self.sync(name)
+    def reply(self, index):
+        doubt = self.doubts.pop(index % len(self.doubts))
+        groups = self.vms[doubt.member].view.list_led_after(doubt.revision)
+        self.standings.append((doubt, frozenset(groups)))
 
-    @stateful.rule()
-    def other_round(self):
-        self.sync(OTHER)
-        self.release(OTHER)
-
-    @stateful.rule()
-    def holder_round(self):
-        self.sync(HOLDER)
-        self.release(HOLDER)
-        self.sync(HOLDER)
-        self.check()
+    def hear(self, index):
+        doubt, newer = self.standings.pop(index % len(self.standings))
+        vm = self.vms[doubt.asker]
+        if vm.boot == doubt.boot:
+            standing = support.Standing(doubt.asked_at, newer)
+            vm.support.take(doubt.member, standing)
 
     def release(self, name):
         vm = self.vms[name]
@@ -137,12 +141,69 @@
             key = fleet.make_release_key("ledger", name)
             self.put(key, fleet.Release(name, revision))
 
-    @stateful.precondition(lambda self: not self.pending)
-    @stateful.rule()
     def mark(self):
         lead = fleet.Lead("old", 1, f"{HOLDER}/x", True)
         self.pending = self.put(LEAD_KEY, lead)
-        self.marked_at = self.now
+        self.fence = succession.Fence("ledger", self.pending, self.now)
+
+    def go_on(self):
+        """Let the holder release, look and decide."""
+        self.sync(HOLDER)
+        self.release(HOLDER)
+        self.sync(HOLDER)
+        picture = self.vms[HOLDER].view
+        if self.pending and picture.revision >= self.pending:
+            self.is_fenced |= self.fence.is_closed(picture, self.now)
+
+    def check(self):
+        if not self.is_fenced:
+            return
+        for vm in self.vms.values():
+            assert vm.primacy.find_usable("ledger", self.now) is None
+
+
+class Fencing(World, stateful.RuleBasedStateMachine):
+    """Whatever may happen around one replacement."""
+
+    @stateful.rule(seconds=st.floats(0.01, 2.0))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(name=st.sampled_from(VMS))
+    def send_question(self, name):
+        self.ask(name)
+
+    @stateful.rule(name=st.sampled_from(VMS))
+    def take_answer(self, name):
+        self.answer(name)
+
+    @stateful.rule(name=st.sampled_from(OTHERS))
+    def lose_entry(self, name):
+        self.put(fleet.make_member_key(name), None)
+
+    @stateful.rule(name=st.sampled_from(OTHERS))
+    def register(self, name):
+        member = fleets.make_member(name, self.vms[name].boot)
+        self.put(fleet.make_member_key(name), member)
+
+    @stateful.rule(name=st.sampled_from(VMS))
+    def restart(self, name):
+        self.start(name)
+        self.sync(name)
+
+    @stateful.rule(name=st.sampled_from(OTHERS))
+    def other_round(self, name):
+        self.sync(name)
+        self.release(name)
+
+    @stateful.rule()
+    def holder_round(self):
+        self.go_on()
+
+    @stateful.precondition(lambda self: not self.pending)
+    @stateful.rule()
+    def begin(self):
+        self.mark()
 
     @stateful.precondition(lambda self: self.pending)
     @stateful.rule()
@@ -152,29 +213,70 @@
         self.pending = 0
         self.is_fenced = False
 
-    def check(self):
-        if not self.pending:
-            return
-        picture = self.vms[HOLDER].view
-        if picture.revision < self.pending:
-            return
-        awaited = succession.list_awaited(
-            picture, "ledger", self.pending, self.marked_at, self.now
-        )
-        self.is_fenced |= awaited is not None and not awaited
+    @stateful.rule(asker=st.sampled_from(VMS), member=st.sampled_from(VMS))
+    def ask_other(self, asker, member):
+        self.doubt(asker, member)
+        self.reply(len(self.doubts) - 1)
+        self.hear(len(self.standings) - 1)
 
     @stateful.invariant()
     def nobody_uses_a_fenced_primary(self):
-        if not self.is_fenced:
-            return
-        for vm in self.vms.values():
-            assert vm.primacy.find_usable("ledger", self.now) is None
+        self.check()
+
+
+class Outvoting(World, stateful.RuleBasedStateMachine):
+    """A VM without the store asks others while a lead is pending."""
+
+    def __init__(self):
+        super().__init__()
+        self.mark()
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.3, 0.7, 2.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @stateful.rule()
+    def learn(self):
+        self.sync("vm-1")
+        self.release("vm-1")
+
+    @stateful.precondition(lambda self: len(self.vms) < 5)
+    @stateful.rule()
+    def join(self):
+        name = f"vm-{len(self.vms)}"
+        self.start(name)
+        self.sync(name)
+        self.release(name)
+
+    @stateful.rule(member=st.sampled_from(VMS))
+    def send_doubt(self, member):
+        self.doubt(SILENT, member)
+
+    @stateful.precondition(lambda self: self.doubts)
+    @stateful.rule()
+    def send_replies(self):
+        while self.doubts:
+            self.reply(0)
+
+    @stateful.precondition(lambda self: self.standings)
+    @stateful.rule()
+    def take_replies(self):
+        while self.standings:
+            self.hear(0)
+
+    @stateful.invariant()
+    def nobody_uses_a_fenced_primary(self):
+        self.go_on()
+        self.check()
 
 
-Fencing.TestCase.settings = hypothesis.settings(
+SETTINGS = hypothesis.settings(
     max_examples=400,
     stateful_step_count=20,
     derandomize=True,
     deadline=None,
 )
+Fencing.TestCase.settings = SETTINGS
+Outvoting.TestCase.settings = SETTINGS
 TestFencing = Fencing.TestCase
+TestOutvoting = Outvoting.TestCase
--- a/tests/unit/decisions/test_primacy.py
+++ b/tests/unit/decisions/test_primacy.py
@@ -4,6 +4,7 @@
 
 from geraniumridge._internal.decisions import freshness
 from geraniumridge._internal.decisions import primacy
+from geraniumridge._internal.decisions import support
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
@@ -20,8 +21,9 @@
     def __init__(self, *items):
         self.view = view.View(lambda key, value: value)
         self.freshness = freshness.Freshness()
+        self.support = support.Support()
         self.primacy = primacy.Primacy(
-            "vm-1", "boot", self.view, self.freshness, gone_s=4.0
+            "vm-1", "boot", self.view, self.freshness, self.support, gone_s=4.0
         )
         self.revision = 0
         self.take(
@@ -73,8 +75,8 @@
 def test_evidence_runs_out_with_age():
     world = World()
     late = primacy.EVIDENCE_S + 0.01
-    assert world.primacy.has_evidence(primacy.EVIDENCE_S)
-    assert not world.primacy.has_evidence(late)
+    assert world.primacy.has_evidence("ledger", primacy.EVIDENCE_S)
+    assert not world.primacy.has_evidence("ledger", late)
     assert world.primacy.find_usable("ledger", late) is None
 
 
@@ -83,7 +85,47 @@
     world = World()
     member = boot and fleets.make_member("vm-1", boot)
     world.take((fleet.make_member_key("vm-1"), member))
-    assert not world.primacy.has_evidence(0.0)
+    assert not world.primacy.has_evidence("ledger", 0.0)
+
+
+def make_members(*names):
+    return [
+        (fleet.make_member_key(name), fleets.make_member(name))
+        for name in names
+    ]
+
+
+def test_old_knowledge_counts_while_most_members_bear_it_out():
+    world = World(*make_members("vm-2", "vm-3"))
+    now = primacy.UNSUPPORTED_S + 0.1
+    assert not world.primacy.has_evidence("ledger", now)
+    world.support.take("vm-2", support.Standing(now, frozenset()))
+    assert world.primacy.has_evidence("ledger", now)
+    lapsed = now + support.SUPPORT_S + 0.01
+    assert not world.primacy.has_evidence("ledger", lapsed)
+
+
+def test_who_knows_a_newer_lead_does_not_bear_it_out():
+    world = World(*make_members("vm-2", "vm-3"))
+    now = primacy.UNSUPPORTED_S + 0.1
+    newer = frozenset({"ledger"})
+    world.support.take("vm-2", support.Standing(now, newer))
+    assert not world.primacy.has_evidence("ledger", now)
+    assert world.primacy.has_evidence("other", now)
+
+
+def test_support_does_not_outlive_the_bound_on_age():
+    world = World(*make_members("vm-2", "vm-3"))
+    late = primacy.EVIDENCE_S + 0.01
+    world.support.take("vm-2", support.Standing(late, frozenset()))
+    assert not world.primacy.has_evidence("ledger", late)
+
+
+def test_a_fleet_too_large_for_questions_relies_on_age_alone():
+    count = support.MAX_MEMBERS + 1
+    world = World(*make_members(*(f"vm-{index}" for index in range(count))))
+    now = primacy.EVIDENCE_S - 0.1
+    assert world.primacy.has_evidence("ledger", now)
 
 
 def test_a_lead_whose_entry_vanished_is_used_for_a_while():
--- a/tests/unit/decisions/test_succession.py
+++ b/tests/unit/decisions/test_succession.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from geraniumridge._internal.decisions import primacy
 from geraniumridge._internal.decisions import succession
+from geraniumridge._internal.decisions import support
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
@@ -12,6 +14,7 @@
 
 Mark = records.Mark
 PENDING = 50
+MARKED_AT = 100.0
 
 
 def make_view(members=("vm-1", "vm-2")):
@@ -34,17 +37,24 @@
     change(picture, key, fleet.Release(vm, of), now, revision)
 
 
-def list_awaited(picture, now, marked_at=100.0):
-    return succession.list_awaited(picture, "ledger", PENDING, marked_at, now)
+def make_fence():
+    return succession.Fence("ledger", PENDING, MARKED_AT)
+
+
+def list_awaited(picture, now):
+    return make_fence().list_awaited(picture, now)
 
 
 def test_every_member_is_awaited_until_it_released():
     picture = make_view()
+    fence = make_fence()
     assert list_awaited(picture, 100.1) == {"vm-1", "vm-2"}
     release(picture, "vm-1", 100.2, 51)
     assert list_awaited(picture, 100.2) == {"vm-2"}
+    assert not fence.is_closed(picture, 100.2)
     release(picture, "vm-2", 100.3, 52)
     assert list_awaited(picture, 100.3) == set()
+    assert fence.is_closed(picture, 100.3)
 
 
 def test_a_release_of_an_earlier_lead_does_not_count():
@@ -55,9 +65,9 @@
 
 def test_silent_members_are_waited_out():
     picture = make_view()
-    late = 99.9 + succession.WAIT_S
-    assert list_awaited(picture, late)
-    assert list_awaited(picture, late + 0.2) == set()
+    late = MARKED_AT + succession.WAIT_S
+    assert not make_fence().is_closed(picture, late - 0.1)
+    assert make_fence().is_closed(picture, late + 0.1)
 
 
 def test_members_that_left_shortly_before_are_awaited():
@@ -79,7 +89,50 @@
     picture = make_view(())
     picture.replace(99.0, store.Listing((), 2))
     assert list_awaited(picture, 100.1) is None
-    assert list_awaited(picture, 100.1 + succession.WAIT_S) == set()
+    late = MARKED_AT + succession.WAIT_S
+    assert not make_fence().is_closed(picture, late - 0.1)
+    assert make_fence().is_closed(picture, late + 0.1)
+
+
+def find_end(picture, fence):
+    """Return when a fence closes, looking every 50 ms."""
+    now = MARKED_AT
+    while not fence.is_closed(picture, now):
+        now += 0.05
+    return now - MARKED_AT
+
+
+def test_a_silent_minority_is_waited_out_sooner():
+    picture = make_view(("vm-1", "vm-2", "vm-3"))
+    fence = make_fence()
+    release(picture, "vm-1", 100.05, 51)
+    release(picture, "vm-2", 100.05, 52)
+    waited_s = find_end(picture, fence)
+    assert primacy.UNSUPPORTED_S < waited_s < primacy.UNSUPPORTED_S + 0.4
+
+
+def test_support_given_before_a_late_release_is_waited_out():
+    picture = make_view(("vm-1", "vm-2", "vm-3"))
+    fence = make_fence()
+    release(picture, "vm-1", 100.05, 51)
+    late = MARKED_AT + primacy.UNSUPPORTED_S
+    assert not fence.is_closed(picture, late)
+    release(picture, "vm-2", late, 52)
+    assert not fence.is_closed(picture, late)
+    assert not fence.is_closed(picture, late + support.SUPPORT_S)
+    end = late + support.SUPPORT_S + primacy.CLOCK_MARGIN_S + 0.01
+    assert fence.is_closed(picture, end)
+
+
+def test_half_of_the_members_is_no_silent_minority_with_the_newly_joined():
+    """Whoever is awaited may know only those that were there before."""
+    picture = make_view(("vm-1", "vm-2", "vm-3"))
+    for number, vm in enumerate(("vm-4", "vm-5", "vm-6"), 40):
+        key = fleet.make_member_key(vm)
+        change(picture, key, fleets.make_member(vm), 99.0, number)
+        release(picture, vm, 100.05, number + 20)
+    release(picture, "vm-1", 100.05, 70)
+    assert find_end(picture, make_fence()) > primacy.EVIDENCE_S
 
 
 def make_replica(name, position, is_eligible=True):
--- a/tests/unit/network/test_datagrams.py
+++ b/tests/unit/network/test_datagrams.py
@@ -7,8 +7,10 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.network import datagrams
 
+Doubt = datagrams.messages.Doubt
 Draw = datagrams.messages.Draw
 Grant = datagrams.messages.Grant
+Standing = datagrams.messages.Standing
 
 
 @pytest.mark.parametrize(
@@ -16,6 +18,8 @@
     [
         Draw(number=1, team="team", wanted=3),
         Grant(number=1, is_owner=True, tokens=2, retry_ms=0, pledge=9),
+        Doubt(number=1, revision=7),
+        Standing(number=1, vm="vm-1", groups=["ledger"], is_whole=True),
     ],
 )
 def test_messages_survive_the_wire(message):
