Give connections back where nobody can be served

Ruled out: counting VMs that left for longer (those that died would be counted too). Change: a primary's idle connections are closed when its evidence runs out, all of them when knowledge is too old to check keys. A VM that may have missed departures leaves a replacement to others for 1 s.

--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -155,7 +155,7 @@
                 await trio.sleep(CHECK_S)
         with trio.move_on_after(CHECK_S * 5):
             await self._membership.leave()
-        self._node.pools.close()
+        self._node.pools.close_idle()
 
     async def _check(self):
         while True:
@@ -169,7 +169,11 @@
     async def _tidy(self):
         while True:
             await trio.sleep(TIDY_S)
-            self._node.pools.close_unused(self._node.view, clock.now())
+            now = clock.now()
+            self._node.pools.close_unused(self._node.view, now)
+            if self._node.freshness.get_age(now) > self._node.key_age_s:
+                # Other VMs can use the targets' few connections.
+                self._node.pools.close_idle()
 
     async def _tell_peers(self):
         while True:
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -43,7 +43,7 @@
 MAX_STAGGER_S = 1.0
 """Longest such delay."""
 
-GAP_DELAY_S = 0.6
+GAP_DELAY_S = 1.0
 """Further delay of a VM that may have missed departures, which would
 have to wait longer for silent VMs."""
 
--- a/src/geraniumridge/_internal/proxy/leads.py
+++ b/src/geraniumridge/_internal/proxy/leads.py
@@ -64,7 +64,10 @@
         if guard.target is None:
             return
         if not self._node.primacy.has_evidence(group, clock.now()):
+            target = guard.target
             self._give_up(group, guard, "evidence ran out")
+            # The VMs that can still use it need its connections.
+            self._node.pools.get(target).close_idle()
 
     def _check_lead(self, nursery, group):
         lead = self._node.view.get_lead(group)
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -230,7 +230,7 @@
                 if pool.size == 0:
                     del self._pools[target_id]
 
-    def close(self):
+    def close_idle(self):
         """Close all idle connections."""
         for pool in self._pools.values():
             pool.close_idle()
--- a/tests/functional/test_proxy_path.py
+++ b/tests/functional/test_proxy_path.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from geraniumridge._internal.proxy import daemon
 from geraniumridge._internal.utils import clock
 from lib import proxies
 from lib.proxies import is_success
@@ -167,6 +168,19 @@
     assert (await caller.query("READ a"))[0].startswith("ERROR NOAUTH")
 
 
+@run_world
+async def test_who_can_serve_nobody_keeps_no_connections(world, proxy):
+    """The other VMs need the few that a target allows."""
+    caller = await world.connect(proxy)
+    assert is_success(await caller.query("WRITE a 1"))
+    targets = list(world.group.instances.values())
+    assert sum(item.connections for item in targets) > 0
+    proxy.store.is_cut = True
+    with trio.fail_after(proxy.node.key_age_s + 2 * daemon.TIDY_S):
+        while sum(item.connections for item in targets):
+            await trio.sleep(0.1)
+
+
 @run_world
 async def test_keys_count_no_longer_than_the_bound_without_news(world, proxy):
     caller = await world.connect(proxy)
