--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/roster.py
@@ -0,0 +1,90 @@
+"""The members that stand in the store, and those that stood there."""
+
+import math
+import typing
+
+
+class MemberChange(typing.NamedTuple):
+    """A VM that came or went, and when that was seen."""
+
+    vm: str
+    seen_at: float
+
+
+class Roster:
+    """Members by VM, with what changed lately; times in seconds."""
+
+    def __init__(self):
+        self._members = {}
+        self._changes = 0
+        self._departures = {}
+        self._log = []
+        self._listed_at = math.inf
+
+    @property
+    def members(self):
+        """Live `fleet.Member` by VM."""
+        return self._members
+
+    @property
+    def changes(self):
+        """Number of changes so far."""
+        return self._changes
+
+    def put(self, member, now):
+        """Take in a member's entry."""
+        if member.vm not in self._members:
+            self._log.append(MemberChange(member.vm, now))
+        self._members[member.vm] = member
+        self._changes += 1
+        self._departures.pop(member.vm, None)
+
+    def remove(self, vm, now):
+        """Note that a member's entry is gone."""
+        if self._members.pop(vm, None) is not None:
+            self._log.append(MemberChange(vm, now))
+        self._changes += 1
+        self._departures[vm] = now
+
+    def note_listing(self, now):
+        """Note that changes up to a listing may have gone unseen."""
+        self._listed_at = now
+
+    def list_departures(self, now, within_s):
+        """Return the VMs whose entries vanished a short time ago."""
+        return [
+            vm
+            for vm, seen_at in self._departures.items()
+            if now - seen_at <= within_s
+        ]
+
+    def list_sets(self, since):
+        """Return each set of members that stood in the store since then.
+
+        Returns
+        -------
+        list of frozenset or None
+            None if some of them may have gone unseen.
+        """
+        if self._listed_at > since:
+            return None
+        members = set(self._members)
+        sets = [frozenset(members)]
+        for change in reversed(self._log):
+            if change.seen_at < since:
+                break
+            members ^= {change.vm}
+            sets.append(frozenset(members))
+        return sets
+
+    def expire(self, now, remember_s):
+        """Forget what is long past."""
+        for vm, seen_at in list(self._departures.items()):
+            if now - seen_at > remember_s:
+                del self._departures[vm]
+        if self._log and now - self._log[0].seen_at > remember_s:
+            self._log = [
+                change
+                for change in self._log
+                if now - change.seen_at <= remember_s
+            ]
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -77,7 +77,7 @@
         if whole_since is None or self._marked_at - whole_since < WAIT_S:
             return None
         since = self._marked_at - WAIT_S
-        departed = view.list_departures(now, now - since)
+        departed = view.roster.list_departures(now, now - since)
         releases = view.list_releases(self._group)
         return {
             vm
@@ -89,7 +89,7 @@
         if self._outvoted_at is not None:
             return
         # What an awaited VM knows is at most this old.
-        sets = view.list_member_sets(now - WAIT_S)
+        sets = view.roster.list_sets(now - WAIT_S)
         if sets is not None and support.is_outvoted(awaited, sets):
             self._outvoted_at = now
 
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from geraniumridge._internal.decisions import roster
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
 
@@ -31,13 +32,6 @@
     seen_at: float
 
 
-class MemberChange(typing.NamedTuple):
-    """A VM that came or went, and when that was seen."""
-
-    vm: str
-    seen_at: float
-
-
 class Entry(typing.NamedTuple):
     """A key's revision and what its value says, None if unreadable."""
 
@@ -64,13 +58,9 @@
         self._targets = {}
         self._groups = {}
         self._evacuated = set()
-        self._members = {}
-        self._member_changes = 0
-        self._member_log = []
-        self._listed_at = math.inf
+        self._roster = roster.Roster()
         self._leads = {}
         self._releases = {}
-        self._departures = {}
         self._lapsing = {}
         self._gone_targets = {}
         self._whole_since = None
@@ -109,12 +99,12 @@
     @property
     def members(self):
         """Live `fleet.Member` by VM."""
-        return self._members
+        return self._roster.members
 
     @property
-    def member_changes(self):
-        """Number of changes of the members so far."""
-        return self._member_changes
+    def roster(self):
+        """The `roster.Roster` of members, present and former."""
+        return self._roster
 
     @property
     def whole_since(self):
@@ -156,38 +146,6 @@
         """Return the releases of a group's leads, by VM."""
         return self._releases.get(group, {})
 
-    def list_departures(self, now, within_s):
-        """Return the VMs whose entries vanished a short time ago."""
-        return [
-            vm
-            for vm, seen_at in self._departures.items()
-            if now - seen_at <= within_s
-        ]
-
-    def list_member_sets(self, since):
-        """Return each set of members that stood in the store since then.
-
-        Parameters
-        ----------
-        since : float
-            Clock time, in seconds.
-
-        Returns
-        -------
-        list of frozenset or None
-            None if some of them may have gone unseen.
-        """
-        if self._listed_at > since:
-            return None
-        members = set(self._members)
-        sets = [frozenset(members)]
-        for change in reversed(self._member_log):
-            if change.seen_at < since:
-                break
-            members ^= {change.vm}
-            sets.append(frozenset(members))
-        return sets
-
     def list_led_after(self, revision):
         """Return the groups whose leads are newer than a revision."""
         return [
@@ -222,7 +180,7 @@
             self._take(now, item)
         self._revision = listing.revision
         self._changed = listing.revision
-        self._listed_at = now
+        self._roster.note_listing(now)
         return True
 
     def apply(self, now, changes):
@@ -238,17 +196,10 @@
 
     def expire(self, now):
         """Drop targets that did not return, and what is long gone."""
-        for vm, seen_at in list(self._departures.items()):
-            if now - seen_at > REMEMBER_S:
-                del self._departures[vm]
+        self._roster.expire(now, REMEMBER_S)
         for name, item in list(self._gone_targets.items()):
             if now - item.seen_at > REMEMBER_S:
                 del self._gone_targets[name]
-        self._member_log = [
-            change
-            for change in self._member_log
-            if now - change.seen_at <= REMEMBER_S
-        ]
         for target, limit in list(self._lapsing.items()):
             if now >= limit:
                 del self._lapsing[target]
@@ -280,11 +231,7 @@
         elif isinstance(record, Evacuation):
             self._evacuated.add(record.domain)
         elif isinstance(record, fleet.Member):
-            if record.vm not in self._members:
-                self._member_log.append(MemberChange(record.vm, now))
-            self._members[record.vm] = record
-            self._member_changes += 1
-            self._departures.pop(record.vm, None)
+            self._roster.put(record, now)
         elif isinstance(record, fleet.Lead):
             group = fleet.parse_lead_group(item.key)
             self._leads[group] = item.revision
@@ -298,10 +245,7 @@
         elif isinstance(record, Evacuation):
             self._evacuated.discard(record.domain)
         elif isinstance(record, fleet.Member):
-            if self._members.pop(record.vm, None) is not None:
-                self._member_log.append(MemberChange(record.vm, now))
-            self._member_changes += 1
-            self._departures[record.vm] = now
+            self._roster.remove(record.vm, now)
         elif isinstance(record, fleet.Release):
             group = fleet.parse_release_group(key)
             self._releases.get(group, {}).pop(record.vm, None)
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -204,8 +204,8 @@
         stay the same.
         """
         view = self._node.view
-        if view.member_changes != self._limiters_of:
-            self._limiters_of = view.member_changes
+        if view.roster.changes != self._limiters_of:
+            self._limiters_of = view.roster.changes
             self._limiters.clear()
         if team not in self._limiters:
             self._limiters[team] = rates.find_limiter(team, view.members)
@@ -293,7 +293,7 @@
 
     def _count_members(self, now):
         view = self._node.view
-        departed = view.list_departures(now, rates.REMEMBER_S)
+        departed = view.roster.list_departures(now, rates.REMEMBER_S)
         return max(1, len(view.members) + len(departed))
 
 
--- a/src/geraniumridge/_internal/proxy/supporters.py
+++ b/src/geraniumridge/_internal/proxy/supporters.py
@@ -1,6 +1,7 @@
 """Asks the other VMs about leads while the store does not answer."""
 
 import itertools
+import math
 
 from geraniumridge._internal.decisions import primacy
 from geraniumridge._internal.decisions import support
@@ -34,8 +35,8 @@
         self._node = node
         self._peers = peers
         self._numbers = itertools.count(1)
-        self._number = 0
-        self._asked_at = float("-inf")
+        self._number = None
+        self._asked_at = -math.inf
         peers.handle(datagrams.messages.Doubt, self._answer)
         peers.handle(datagrams.messages.Standing, self._take)
 
--- a/tests/unit/decisions/test_view.py
+++ b/tests/unit/decisions/test_view.py
@@ -117,11 +117,11 @@
     member = fleet.Member("vm-1", "north", "127.0.0.1:1", "boot-1")
     picture.replace(0.0, make_listing(5, Item(key, member, 5)))
     picture.apply(1.0, make_changes(6, Item(key, None, 6)))
-    assert list(picture.list_departures(2.0, 3.0)) == ["vm-1"]
-    assert not picture.list_departures(5.0, 3.0)
+    assert list(picture.roster.list_departures(2.0, 3.0)) == ["vm-1"]
+    assert not picture.roster.list_departures(5.0, 3.0)
     again = member._replace(boot="boot-2")
     picture.apply(2.0, make_changes(7, Item(key, again, 7)))
-    assert not picture.list_departures(2.0, 3.0)
+    assert not picture.roster.list_departures(2.0, 3.0)
 
 
 def test_a_short_gap_hides_no_member_and_a_long_one_may():
