--- a/standins/linegroup.py
+++ b/standins/linegroup.py
@@ -3,7 +3,8 @@
 Runs inside a trio program on loopback. Each `Instance` has slots, a
 connection limit, a log by term and number, replication with a lag, and
 the orders of the protocol. Faults are attributes: `is_silent`,
-`is_deaf`, `lose_answers`, `is_down`, `refuse_reads`.
+`is_deaf`, `lose_answers`, `is_down`, `refuse_reads`, `cut_from` (names
+of instances that it cannot reach).
 """
 
 import typing
@@ -14,6 +15,9 @@
 
 END = b"\r\n"
 
+STEP_DOWN_S = 1.0
+"""How long a former primary goes on once it reaches the new one."""
+
 
 class Commit(typing.NamedTuple):
     """One commit of the log."""
@@ -43,6 +47,7 @@
         self.is_silent = False
         self.is_deaf = False
         self.is_down = False
+        self.cut_from = set()
         self.lose_answers = 0
         self.refuse_reads = None
         self.ran = []
@@ -131,6 +136,8 @@
                 continue
             if item.is_deaf or item.held_term > primary.term:
                 continue
+            if item.name in primary.cut_from:
+                continue
             item.term = max(item.term, primary.term)
             item.log = list(primary.log)
             received += 1
@@ -152,6 +159,18 @@
 
         item._nursery.start_soon(apply)
 
+    async def rejoin(self, name):
+        """End an instance's cut; it follows a newer primary by itself."""
+        item = self.instances[name]
+        item.cut_from = set()
+        await trio.sleep(STEP_DOWN_S)
+        newest = max(self.instances.values(), key=lambda item: item.term)
+        if newest.role == "primary" and newest is not item:
+            item.role = "replica"
+            item.term = newest.term
+            item.log = list(newest.log)
+            item.applied = len(item.log)
+
     async def promote(self, name):
         """Make an instance lead the next term; False if it is down."""
         chosen = self.instances[name]
--- /dev/null
+++ b/tests/functional/test_proxy_cuts.py
@@ -0,0 +1,147 @@
+"""A domain that is cut off, against an oracle of every commit.
+
+The old primary lives on in the cut domain and serves its VM there while
+the others replace it. At no time may a read of the primary, at any VM,
+miss a commit that was acknowledged before it, and in the end every
+acknowledged commit must be there.
+"""
+
+import random
+
+import pytest
+import trio
+
+from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import succession
+from lib import proxies
+from lib.proxies import is_success
+
+SEEDS = [1, 2]
+CUT_S = 6.0
+RECOVERED_S = 15.0
+"""Bound on a change of primary; from the size to design for."""
+
+
+async def ask(caller, text):
+    """Return the lines of an answer; fails if the proxy hung up."""
+    lines = await caller.query(text)
+    if not lines:
+        raise trio.BrokenResourceError
+    return lines
+
+
+class Oracle:
+    """What each writer has written and had acknowledged.
+
+    A writer has an item of its own, whose numbers only grow, and writes
+    a further item each time.
+    """
+
+    def __init__(self):
+        self.number = 0
+        self.acknowledged = {}
+        self.kept = {}
+        self.reads = 0
+
+    async def write(self, caller, name):
+        """Write the next number of a writer, and a new item."""
+        self.number += 1
+        number = self.number
+        if is_success(await ask(caller, f"WRITE count-{name} {number}")):
+            self.acknowledged[name] = number
+        if is_success(await ask(caller, f"WRITE item-{number} {name}")):
+            self.kept[f"item-{number}"] = str(name)
+
+    async def read(self, caller, name):
+        """Read all writers' items; they hold what was acknowledged."""
+        for writer, least in list(self.acknowledged.items()):
+            least = self.acknowledged[writer]
+            lines = await ask(caller, f"READ count-{writer}")
+            if is_success(lines):
+                self.reads += 1
+                found = int(lines[0].removeprefix("ROW "))
+                assert found >= least, (name, writer)
+
+
+class Cut:
+    """Three domains with a VM and an instance each; one is cut off."""
+
+    def __init__(self, world, members):
+        self.world = world
+        self.members = members
+        self.group = world.group
+
+    def begin(self):
+        """Cut the first domain off from the others and the store."""
+        inside, *outside = self.members
+        names = list(self.group.instances)
+        inside.store.is_cut = True
+        inside.dialect.cut_from = set(names[1:])
+        inside.cut_peers(outside)
+        for item in outside:
+            item.dialect.cut_from = {names[0]}
+        self.group.instances[names[0]].cut_from = set(names[1:])
+
+    async def end(self):
+        """Heal the cut of the store and of the targets."""
+        for item in self.members:
+            item.dialect.cut_from = set()
+        self.members[0].store.is_cut = False
+        await self.group.rejoin(next(iter(self.group.instances)))
+
+
+async def repeat(action, world, proxy, random_, name):
+    """Act as a caller of one VM again and again, for good."""
+    while True:
+        caller = await world.connect(proxy)
+        try:
+            while True:
+                await action(caller, name)
+                await trio.sleep(random_.uniform(0.0, 0.04))
+        except trio.BrokenResourceError:
+            await trio.sleep(0.05)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_read_misses_a_commit_while_a_domain_is_cut_off(seed):
+    random_ = random.Random(seed)
+
+    async def main():
+        async with proxies.open_world() as world:
+            members = [
+                await world.add_proxy(f"vm-{number}", domain)
+                for number, domain in enumerate(proxies.DOMAINS)
+            ]
+            oracle = Oracle()
+            await trio.sleep(rates.JOIN_S + succession.WAIT_S)
+            cut = Cut(world, members)
+            async with trio.open_nursery() as nursery:
+                for number, proxy in enumerate(members):
+                    for action in (oracle.read, oracle.write):
+                        nursery.start_soon(
+                            repeat, action, world, proxy, random_, number
+                        )
+                await trio.sleep(random_.uniform(0.2, 1.0))
+                cut.begin()
+                await trio.sleep(CUT_S + random_.uniform(-1.0, 1.0))
+                assert len(world.duties.orders) == 1
+                await cut.end()
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+            assert oracle.reads > 50
+            await check_kept(world, members, oracle)
+
+    trio.run(main)
+
+
+async def check_kept(world, members, oracle):
+    """Check that every acknowledged commit is found at each VM."""
+    for proxy in members:
+        caller = await world.connect(proxy)
+        for item, value in oracle.kept.items():
+            with trio.fail_after(RECOVERED_S):
+                lines = await ask(caller, f"READ {item}")
+                while not is_success(lines):
+                    await trio.sleep(0.1)
+                    lines = await ask(caller, f"READ {item}")
+            assert lines[0] == f"ROW {value}"
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -34,6 +34,14 @@
     await proxies.wait_until(is_settled, timeout_s)
 
 
+async def add_one_a_domain(world):
+    """Return proxies that have no neighbours."""
+    return [
+        await world.add_proxy(f"vm-{number}", domain)
+        for number, domain in enumerate(proxies.DOMAINS)
+    ]
+
+
 async def write_until_kept(caller, item, timeout_s=FAILOVER_S):
     """Write until the write is acknowledged."""
     with trio.fail_after(timeout_s):
@@ -244,7 +252,7 @@
 
     async def main():
         async with proxies.open_world() as world:
-            members = [await world.add_proxy(f"vm-{n}") for n in range(3)]
+            members = await add_one_a_domain(world)
             # Entries are written a second time once VMs are settled.
             await trio.sleep(rates.JOIN_S + succession.WAIT_S + 1)
             caller = await world.connect(members[0])
@@ -264,7 +272,7 @@
 def test_who_loses_the_store_uses_a_primary_while_others_bear_it_out():
     async def main():
         async with proxies.open_world() as world:
-            members = [await world.add_proxy(f"vm-{n}") for n in range(3)]
+            members = await add_one_a_domain(world)
             caller = await world.connect(members[0])
             members[0].store.is_cut = True
             await trio.sleep(primacy.UNSUPPORTED_S + 0.6)
@@ -275,6 +283,18 @@
     trio.run(main)
 
 
+def test_who_loses_the_store_serves_on_with_a_neighbours_news():
+    async def main():
+        async with proxies.open_world() as world:
+            members = [await world.add_proxy(f"vm-{n}") for n in range(2)]
+            caller = await world.connect(members[0])
+            members[0].store.is_cut = True
+            await trio.sleep(primacy.EVIDENCE_S + 2)
+            assert is_success(await caller.query("WRITE a 1"))
+
+    trio.run(main)
+
+
 def test_all_members_release_and_no_time_is_lost():
     async def main():
         async with proxies.open_world() as world:
--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -161,9 +161,47 @@
 
     def __getattribute__(self, name):
         found = super().__getattribute__(name)
-        if name.startswith("_") or name == "is_cut" or not self.is_cut:
+        if name.startswith("_") or name == "is_cut":
             return found
-        raise exceptions.PlatformUnavailableError("cut off")
+
+        async def call(*arguments):
+            self._check_cut()
+            answer = await found(*arguments)
+            self._check_cut()
+            return answer
+
+        return call
+
+    def _check_cut(self):
+        """Lose calls, and answers that were on their way."""
+        if self.is_cut:
+            raise exceptions.PlatformUnavailableError("cut off")
+
+
+class CuttableDialect(instances.LineDialect):
+    """Speaks to targets, but not to those it is cut off from."""
+
+    def __init__(self):
+        self.cut_from = set()
+
+    async def open(self, target, team, timeout_s):
+        """Return a link that falls silent while it is cut."""
+        if target.id in self.cut_from:
+            await trio.sleep(timeout_s)
+            raise exceptions.NotSentError(f"{target.id}: cut off")
+        link = await super().open(target, team, timeout_s)
+        plain_call = link.call
+
+        async def call(calls):
+            if target.id in self.cut_from:
+                await trio.sleep_forever()
+            answers = await plain_call(calls)
+            if target.id in self.cut_from:
+                await trio.sleep_forever()
+            return answers
+
+        link.call = call
+        return link
 
 
 class RunningProxy:
@@ -171,11 +209,12 @@
 
     def __init__(self, world, settings):
         self.settings = settings
+        self.dialect = CuttableDialect()
         self.node = node.Node(
             settings,
             f"boot-{settings.listen.callers}",
             records.decode_record,
-            instances.LineDialect(),
+            self.dialect,
         )
         self.store = CuttableStore(settings.platform.store)
         self.proxy = daemon.Proxy(
@@ -184,6 +223,13 @@
             duty_client.DutyClient(settings.platform.duties),
         )
 
+    def cut_peers(self, others):
+        """Lose all datagrams to and from other proxies."""
+        ports = {item.settings.listen.first_peer_port for item in others}
+        own = self.settings.listen.first_peer_port
+        for item in (self, *others):
+            _lose_datagrams(item, ports if item is self else {own})
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Run until the world ends."""
         listen = self.settings.listen
@@ -195,6 +241,18 @@
             await trio.sleep_forever()
 
 
+def _lose_datagrams(running, ports):
+    """Let a proxy lose what it sends to some ports; none restores it."""
+    peers = running.proxy._peers
+    plain_send = type(peers).send
+
+    async def send(message, address):
+        if address[1] not in ports:
+            await plain_send(peers, message, address)
+
+    peers.send = send
+
+
 class Caller:
     """A client of the line protocol."""
 
