Ask and tell other VMs in one place; drop what was written twice

Second reading of the whole change: - Limits and News each numbered questions, waited for the answer and dropped late ones; Peers.ask does it once. News and Supporters each listed the other members and split their addresses; Roster.list_others and Peers.tell do. - View.led told, by a maximum over all leads at every reading, what list_led_after tells; it is gone. - Draws and kept pledges noted a grant in the same lines; one function. - The address of peers was put together twice; a property of the settings. - Rolling back settled a connection in its own words; Runner._settle. Behaviour stays but for one thing: a neighbour's answer that comes more than 50 ms late no longer counts as hearing from it. test_news.py runs on the real Peers without a socket; its assertions are unchanged.

--- a/src/geraniumridge/_internal/decisions/roster.py
+++ b/src/geraniumridge/_internal/decisions/roster.py
@@ -31,6 +31,10 @@
         """Number of changes so far."""
         return self._changes
 
+    def list_others(self, vm):
+        """Return the members but one."""
+        return [item for item in self._members.values() if item.vm != vm]
+
     def put(self, member, now):
         """Take in a member's entry."""
         if member.vm not in self._members:
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -76,11 +76,6 @@
         """Revision after which nothing has changed up to `revision`."""
         return self._changed
 
-    @property
-    def led(self):
-        """Revision of the newest change of a lead, 0 without any."""
-        return max(self._leads.values(), default=0)
-
     @property
     def state(self):
         """The newest `desired.DesiredState`, or None."""
--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -69,6 +69,11 @@
     regions: dict[str, str] = {}
     log: settings.LogSettings = settings.LogSettings()
 
+    @property
+    def peer_address(self):
+        """``IP:port`` on which this VM hears the others."""
+        return f"{self.vm.ip}:{self.listen.first_peer_port}"
+
 
 def load_proxy_settings(path):
     """Read and check a settings file.
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -1,5 +1,6 @@
 """Thrift messages between proxies, one to a datagram."""
 
+import itertools
 import logging
 import pathlib
 
@@ -21,6 +22,9 @@
 MAX_BYTES = 2_048
 """Longest datagram that is read."""
 
+ANSWERS = (messages.Grant, messages.News)
+"""Kinds that answer one question, by its number."""
+
 _FACTORY = cybin.TCyBinaryProtocolFactory()
 _KINDS = (
     messages.Draw,
@@ -59,6 +63,14 @@
     return message
 
 
+class _Question:
+    """A question that waits for its answer."""
+
+    def __init__(self):
+        self.answered = trio.Event()
+        self.answer = None
+
+
 class Peers:
     """Exchanges datagrams with the other VMs.
 
@@ -72,6 +84,8 @@
         self._address = streams.split_address(address)
         self._socket = None
         self._handlers = {}
+        self._numbers = itertools.count(1)
+        self._questions = {}
 
     def handle(self, kind, handler):
         """Call a function with each message of a kind and its sender."""
@@ -98,6 +112,40 @@
                 extra={"event": "datagram_failed", "why": str(error)},
             )
 
+    async def tell(self, message, members):
+        """Send a message to several `fleet.Member`."""
+        for member in members:
+            address = streams.split_address(member.address)
+            await self.send(message, address)
+
+    async def ask(self, question, member, timeout_s):
+        """Ask a `fleet.Member`; the question gets its number here.
+
+        Returns
+        -------
+        message or None
+            None without an answer in time, in seconds.
+        """
+        question.number = next(self._numbers)
+        waiting = self._questions[question.number] = _Question()
+        try:
+            await self.tell(question, [member])
+            with trio.move_on_after(timeout_s):
+                await waiting.answered.wait()
+            return waiting.answer
+        finally:
+            del self._questions[question.number]
+
+    async def take(self, message, sender):
+        """Hand a message to whoever waits for it or handles its kind."""
+        if not isinstance(message, ANSWERS):
+            await self._handlers[type(message)](message, sender)
+            return
+        waiting = self._questions.get(message.number)
+        if waiting is not None:
+            waiting.answer = message
+            waiting.answered.set()
+
     async def _receive(self):
         while True:
             try:
@@ -109,4 +157,4 @@
                     extra={"event": "datagram_dropped", "why": str(error)},
                 )
                 continue
-            await self._handlers[type(message)](message, sender)
+            await self.take(message, sender)
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -150,9 +150,8 @@
             except exceptions.ConnectionLostError:
                 pool.discard(pooled)
                 return
-            if answer.state is statements.TransactionState.IDLE:
-                pool.give_back(pooled)
-                return
+            self._settle(pool, pooled, answer)
+            return
         pool.discard(pooled)
 
     async def _borrow(self, pool, work, plan, until):
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -56,9 +56,7 @@
         self._is_stopping = False
         self._resting = set()
         self._sessions = set()
-        self._peers = datagrams.Peers(
-            f"{node.settings.vm.ip}:{node.settings.listen.first_peer_port}"
-        )
+        self._peers = datagrams.Peers(node.settings.peer_address)
         self._news = news.News(node, self._peers)
         self._follower = follower.Follower(
             node, store, self._news, self._note_change
--- a/src/geraniumridge/_internal/proxy/follower.py
+++ b/src/geraniumridge/_internal/proxy/follower.py
@@ -167,11 +167,11 @@
         """Take in changes; neighbours are told of what is urgent."""
         was_lost = self._note_answer()
         view = self._node.view
-        led = view.led
+        revision = view.revision
         view.apply(clock.now(), changes)
         self._finish(sent_at)
-        has_new_leads = view.led > led and self._find_reader() is None
-        if was_lost or has_new_leads:
+        has_new_leads = changes.items and view.list_led_after(revision)
+        if was_lost or (has_new_leads and self._find_reader() is None):
             await self._news.tell_domain()
 
     def _note_answer(self):
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -7,7 +7,6 @@
 
 from geraniumridge._internal.decisions import rates
 from geraniumridge._internal.network import datagrams
-from geraniumridge._internal.network import streams
 from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
@@ -91,10 +90,7 @@
         self._masters = {}
         self._limiters = {}
         self._limiters_of = None
-        self._waiting = {}
-        self._next_number = 0
         peers.handle(datagrams.messages.Draw, self._answer_draw)
-        peers.handle(datagrams.messages.Grant, self._take_grant)
 
     async def take(self, team):
         """Take one operation of a team.
@@ -163,11 +159,7 @@
             is_due = now - state.granted_at >= KEEP_S and now >= state.ask_at
             if state.pledge >= LEAST_PLEDGE and is_due:
                 async with state.turn:
-                    grant = await self._ask(team, 0)
-                if grant is None:
-                    state.ask_at = clock.now() + SILENT_S
-                    continue
-                state.note_grant(grant, self._find_limiter(team), now)
+                    await self._request(team, state, 0, now)
 
     async def _draw(self, team, state, rate):
         now = clock.now()
@@ -176,11 +168,9 @@
         if now < state.ask_at:
             return False
         wanted = 1 + rates.count_prepaid(rate)
-        grant = await self._ask(team, wanted)
+        grant = await self._request(team, state, wanted, now)
         if grant is None:
-            state.ask_at = clock.now() + SILENT_S
             return self._take_pledged(team, state, clock.now())
-        state.note_grant(grant, self._find_limiter(team), now)
         if not grant.is_owner:
             state.ask_at = clock.now() + SILENT_S
             return False
@@ -211,6 +201,15 @@
             self._limiters[team] = rates.find_limiter(team, view.members)
         return self._limiters[team]
 
+    async def _request(self, team, state, wanted, now):
+        """Ask the limiter and note its grant, or that it is silent."""
+        grant = await self._ask(team, wanted)
+        if grant is None:
+            state.ask_at = clock.now() + SILENT_S
+        else:
+            state.note_grant(grant, self._find_limiter(team), now)
+        return grant
+
     async def _ask(self, team, wanted):
         """Return the limiter's grant, None if it is silent or none."""
         owner = self._find_limiter(team)
@@ -218,9 +217,9 @@
             return None
         if owner.vm == self._node.settings.vm.name:
             return self._grant(0, team, wanted, owner.vm)
-        address = streams.split_address(owner.address)
         for _ in range(TRIES):
-            grant = await self._ask_once(team, wanted, address)
+            draw = datagrams.messages.Draw(team=team, wanted=wanted)
+            grant = await self._peers.ask(draw, owner, ANSWER_S)
             if grant is not None:
                 return grant
         logger.info(
@@ -229,30 +228,6 @@
         )
         return None
 
-    async def _ask_once(self, team, wanted, address):
-        self._next_number += 1
-        number = self._next_number
-        answered = trio.Event()
-        self._waiting[number] = waiting = [answered, None]
-        try:
-            await self._peers.send(
-                datagrams.messages.Draw(
-                    number=number, team=team, wanted=wanted
-                ),
-                address,
-            )
-            with trio.move_on_after(ANSWER_S):
-                await answered.wait()
-            return waiting[1]
-        finally:
-            del self._waiting[number]
-
-    async def _take_grant(self, message, sender):
-        waiting = self._waiting.get(message.number)
-        if waiting is not None:
-            waiting[1] = message
-            waiting[0].set()
-
     async def _answer_draw(self, message, sender):
         grant = self._grant(
             message.number, message.team, message.wanted, sender
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -104,11 +104,10 @@
 
     async def _register(self, is_settled):
         settings = self._node.settings
-        address = f"{settings.vm.ip}:{settings.listen.first_peer_port}"
         member = fleet.Member(
             settings.vm.name,
             settings.vm.domain,
-            address,
+            settings.peer_address,
             self._node.boot,
             is_settled,
         )
--- a/src/geraniumridge/_internal/proxy/news.py
+++ b/src/geraniumridge/_internal/proxy/news.py
@@ -1,6 +1,5 @@
 """Tells neighbours how far the store has been read."""
 
-import itertools
 import math
 import typing
 
@@ -8,7 +7,6 @@
 
 from geraniumridge._internal.decisions import primacy
 from geraniumridge._internal.network import datagrams
-from geraniumridge._internal.network import streams
 from geraniumridge._internal.utils import clock
 
 ANSWER_S = 0.05
@@ -43,14 +41,9 @@
     def __init__(self, node, peers):
         self._node = node
         self._peers = peers
-        self._numbers = itertools.count(1)
-        self._number = None
-        self._answer = None
-        self._answered = trio.Event()
         self._hinted = trio.Event()
         self._heard_at = -math.inf
         peers.handle(datagrams.messages.AskNews, self._take_question)
-        peers.handle(datagrams.messages.News, self._take_news)
         peers.handle(datagrams.messages.Hint, self._take_hint)
 
     async def ask(self, member):
@@ -61,33 +54,24 @@
         Heard or None
             None without an answer in time.
         """
-        self._number = next(self._numbers)
-        self._answer = None
-        self._answered = trio.Event()
-        question = datagrams.messages.AskNews(self._number)
-        await self._peers.send(question, streams.split_address(member.address))
-        with trio.move_on_after(ANSWER_S):
-            await self._answered.wait()
-        return self._answer
+        question = datagrams.messages.AskNews()
+        answer = await self._peers.ask(question, member, ANSWER_S)
+        if answer is None:
+            return None
+        self._heard_at = clock.now()
+        return Heard(answer.changed, answer.age_ms / 1000)
 
     async def tell_domain(self):
         """Tell the neighbours that there is news."""
-        vm = self._node.settings.vm
+        domain = self._node.settings.vm.domain
         await self._tell(
-            member
-            for member in self._node.view.members.values()
-            if member.domain == vm.domain and member.vm != vm.name
+            member for member in self._list_others() if member.domain == domain
         )
 
     async def tell_all(self):
         """Tell all VMs, this one as well, that there is news."""
         self._hinted.set()
-        vm = self._node.settings.vm
-        await self._tell(
-            member
-            for member in self._node.view.members.values()
-            if member.vm != vm.name
-        )
+        await self._tell(self._list_others())
 
     async def wait_hint(self):
         """Wait until some VM tells of news."""
@@ -98,11 +82,12 @@
         """Tell whether the neighbour answered lately, at whatever age."""
         return now - self._heard_at <= HEARD_S
 
+    def _list_others(self):
+        return self._node.view.roster.list_others(self._node.settings.vm.name)
+
     async def _tell(self, members):
         hint = datagrams.messages.Hint(self._node.settings.vm.name)
-        for member in list(members):
-            address = streams.split_address(member.address)
-            await self._peers.send(hint, address)
+        await self._peers.tell(hint, members)
 
     async def _take_question(self, question, sender):
         age_s = self._node.freshness.get_age(clock.now())
@@ -114,11 +99,5 @@
             )
             await self._peers.send(news, sender)
 
-    async def _take_news(self, news, sender):
-        if news.number == self._number:
-            self._heard_at = clock.now()
-            self._answer = Heard(news.changed, news.age_ms / 1000)
-            self._answered.set()
-
     async def _take_hint(self, hint, sender):
         self._hinted.set()
--- a/src/geraniumridge/_internal/proxy/supporters.py
+++ b/src/geraniumridge/_internal/proxy/supporters.py
@@ -6,7 +6,6 @@
 from geraniumridge._internal.decisions import primacy
 from geraniumridge._internal.decisions import support
 from geraniumridge._internal.network import datagrams
-from geraniumridge._internal.network import streams
 from geraniumridge._internal.utils import clock
 
 ASK_AGE_S = primacy.UNSUPPORTED_S - 0.35
@@ -43,23 +42,21 @@
     async def ask(self):
         """Ask the members if it is time to; called often."""
         now = clock.now()
-        members = self._node.view.members
         age_s = self._node.freshness.get_age(now)
         if not ASK_AGE_S <= age_s <= primacy.EVIDENCE_S:
             return
         if now - self._asked_at < ASK_PAUSE_S:
             return
-        if len(members) > support.MAX_MEMBERS:
+        if len(self._node.view.members) > support.MAX_MEMBERS:
             return
         self._number = next(self._numbers)
         self._asked_at = now
         doubt = datagrams.messages.Doubt(
             self._number, self._node.view.revision
         )
-        for vm, member in list(members.items()):
-            if vm != self._node.settings.vm.name:
-                address = streams.split_address(member.address)
-                await self._peers.send(doubt, address)
+        own = self._node.settings.vm.name
+        others = self._node.view.roster.list_others(own)
+        await self._peers.tell(doubt, others)
 
     async def _answer(self, doubt, sender):
         view = self._node.view
--- a/tests/unit/proxy/test_news.py
+++ b/tests/unit/proxy/test_news.py
@@ -32,17 +32,13 @@
         return end
 
 
-class WireEnd:
-    """One VM's end; see `datagrams.Peers`."""
+class WireEnd(datagrams.Peers):
+    """One VM's end, without a socket."""
 
     def __init__(self, wire, address):
+        super().__init__(f"{address[0]}:{address[1]}")
         self._wire = wire
-        self._address = address
-        self._handlers = {}
-
-    def handle(self, kind, handler):
-        """Call a function with each message of a kind."""
-        self._handlers[kind] = handler
+        self._sender = address
 
     async def send(self, message, address):
         """Deliver a message as it looks after the wire."""
@@ -50,8 +46,7 @@
             return
         message = datagrams.decode(datagrams.encode(message))
         self._wire.sent.append(message)
-        other = self._wire.ends[tuple(address)]
-        await other._handlers[type(message)](message, self._address)
+        await self._wire.ends[tuple(address)].take(message, self._sender)
 
 
 def make_news(wire, vm):
@@ -127,7 +122,7 @@
     async def test(wire, asker, asking, other):
         end = wire.ends[ADDRESSES["vm-1"]]
         late = messages.News(number=0, changed=7, age_ms=1)
-        await end._handlers[messages.News](late, ADDRESSES["vm-2"])
+        await end.take(late, ADDRESSES["vm-2"])
         assert not asking.is_heard(clock.now())
 
     run_pair(test)
