Rename quorum.is_minority to lacks_majority

Cause: the name puzzled: it also said yes for exactly half of the members, which are no minority. What matters is that they are no majority, as only a majority confirms an earlier leadership record. Ruled out: to let the function say no for exactly half, which would change what a failover waits for.

--- a/src/geraniumridge/_internal/decisions/quorum.py
+++ b/src/geraniumridge/_internal/decisions/quorum.py
@@ -73,11 +73,11 @@
         return is_recent and group not in confirmation.newer
 
 
-def is_minority(unacknowledged, member_sets):
-    """Return whether the VMs are at most half of each member set.
+def lacks_majority(unacknowledged, member_sets):
+    """Return whether the VMs are no majority of any member set.
 
-    VMs without an acknowledgement cannot confirm an earlier leadership
-    record by a majority then.
+    They cannot confirm an earlier leadership record then: that takes more
+    than half of the members.
 
     Parameters
     ----------
@@ -89,7 +89,8 @@
     Returns
     -------
     bool
-        False in a fleet larger than `MAX_QUORUM_MEMBERS`.
+        True also for exactly half of the members; False in a fleet larger
+        than `MAX_QUORUM_MEMBERS`.
     """
     return all(
         len(members) <= MAX_QUORUM_MEMBERS
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -108,7 +108,7 @@
             return
         # The store view that such a VM relies on is at most this old.
         member_sets = view.roster.list_member_sets(now - FENCE_TIMEOUT_S)
-        if member_sets is not None and quorum.is_minority(
+        if member_sets is not None and quorum.lacks_majority(
             unacknowledged, member_sets
         ):
             self._minority_since = now
