Split decisions/cell.py by state, messages and transitions

Cause: 688 lines held the state of a member, of a candidate and of its contact with the leader, the messages and all transitions between them. Ruled out: a package of its own, as the other decisions are flat modules; a class per role, which would have spread each transition over two files.

Change: cell.py keeps the transitions and the interface (457 lines). view_lease has what the leader granted, leader_contact when it was last heard, pending_claim the answers to a claim and what they tell, view_numbers the numbers accepted and seen, known_vms the addresses and the platform's list, cell_messages what is sent, cell_merge which cell goes on.

--- a/src/geraniumridge/_internal/decisions/leadership.py
+++ b/src/geraniumridge/_internal/decisions/leadership.py
@@ -126,7 +126,7 @@
             Names of the domain's VMs in the platform's list.
         long_unlisted : set of str
             Names that have been missing from that list for more than
-            `cell.UNLISTED_GRACE_S`, and so lose their share.
+            `known_vms.UNLISTED_GRACE_S`, and so lose their share.
         """
         if not self._is_active:
             self._try_activate(now)
--- a/src/geraniumridge/_internal/plugins/membership.py
+++ b/src/geraniumridge/_internal/plugins/membership.py
@@ -11,6 +11,7 @@
 import trio
 
 from geraniumridge._internal.decisions import cell
+from geraniumridge._internal.decisions import cell_messages
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.kernel import kernel
 from geraniumridge._internal.kernel import registry
@@ -188,7 +189,7 @@
             await trio.sleep(tick_s)
 
     def _send_message(self, action):
-        if isinstance(action, cell.SendHeartbeat):
+        if isinstance(action, cell_messages.SendHeartbeat):
             self._nursery.start_soon(
                 self._send_heartbeat, action.address, action.heartbeat
             )
--- a/tests/lib/cells.py
+++ b/tests/lib/cells.py
@@ -5,6 +5,7 @@
 import random
 
 from geraniumridge._internal.decisions import cell
+from geraniumridge._internal.decisions import cell_messages
 from geraniumridge._internal.models import membership
 
 HEARTBEAT_S = 0.5
@@ -134,7 +135,7 @@
     def _send(self, sender, actions):
         for action in actions:
             receiver = action.address.partition(":")[0]
-            if isinstance(action, cell.SendHeartbeat):
+            if isinstance(action, cell_messages.SendHeartbeat):
                 self._send_heartbeat(sender, receiver, action.heartbeat)
             else:
                 self._send_claim(sender, receiver, action.claim)
