Find the gateway of a target in the membership plug-in

Cause: the name of a target, its placement and the error without a gateway stood in failover (twice), durability, entry and gateway. Ruled out: looking the failure domain up in entry as well; its routes come from a configuration that may be older by then, and a target that has gone would raise another error. So find_gateway takes the domain.

Change: config.make_target_name, Membership.find_gateway, and call_gateway for the two that call it with the current configuration.

--- a/src/geraniumridge/_internal/models/config.py
+++ b/src/geraniumridge/_internal/models/config.py
@@ -140,6 +140,14 @@
 """Type of the entries of each section."""
 
 
+def make_target_name(group, target):
+    """Return the name of a target that is unique in all groups.
+
+    The target's gateway is the VM on which this name is placed.
+    """
+    return f"{group}/{target}"
+
+
 def hash_key(key):
     """Return the SHA-256 hash under which a caller's key is stored."""
     return hashlib.sha256(key.encode()).hexdigest()
--- a/src/geraniumridge/_internal/plugins/durability.py
+++ b/src/geraniumridge/_internal/plugins/durability.py
@@ -66,9 +66,7 @@
 
     async def start(self, nursery):
         """Look up the other plug-ins."""
-        self._configuration = self._kernel.get("configuration")
         self._membership = self._kernel.get("membership")
-        self._peers = self._kernel.get("peers")
         self._nursery = nursery
 
     async def wait_for_replica(self, group, targets, log_position, deadline):
@@ -123,13 +121,6 @@
             waits.polled_targets.discard(target)
 
     async def _await_position(self, group, target, log_position):
-        document = self._configuration.document
-        target_entry = document.groups[group].targets[target]
-        owner = self._membership.find_owner(
-            target_entry.domain, f"{group}/{target}"
-        )
-        if owner is None:
-            raise exceptions.UnavailableError(f"no gateway of {target}")
         message = wire.messages.Await(
             group=group,
             target=target,
@@ -137,7 +128,7 @@
             position=log_position.position,
             wait_ms=int(REPLICA_WAIT_S * 1000),
         )
-        answer = await self._peers.call(
-            owner.address, message, 2 * REPLICA_WAIT_S
+        answer = await self._membership.call_gateway(
+            message, 2 * REPLICA_WAIT_S
         )
         return records.LogPosition(answer.term, answer.position)
--- a/src/geraniumridge/_internal/plugins/entry.py
+++ b/src/geraniumridge/_internal/plugins/entry.py
@@ -260,10 +260,10 @@
             )
 
     async def _try_route(self, message, route, session, deadline):
-        owner = self._membership.find_owner(
-            route.domain, f"{message.group}/{route.target}"
+        gateway = self._membership.find_gateway(
+            route.domain, message.group, route.target
         )
-        if owner is None:
+        if gateway is None:
             raise exceptions.UnavailableError(
                 f"no gateway in domain {route.domain}"
             )
@@ -272,7 +272,7 @@
         now = trio.current_time()
         message.deadline_ms = int((deadline - now) * 1000)
         try:
-            answer = await self._send_to_gateway(owner, message, deadline)
+            answer = await self._send_to_gateway(gateway, message, deadline)
         except (
             exceptions.UnavailableError,
             exceptions.OutcomeUnknownError,
--- a/src/geraniumridge/_internal/plugins/failover.py
+++ b/src/geraniumridge/_internal/plugins/failover.py
@@ -17,6 +17,7 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.kernel import kernel
 from geraniumridge._internal.kernel import registry
+from geraniumridge._internal.models import config
 from geraniumridge._internal.models import records
 from geraniumridge._internal.network import wire
 
@@ -79,15 +80,10 @@
 
     async def run_control_action(self, group, target, action, term=0):
         """Run a control action on a target through its gateway."""
-        target_entry = self._get_group(group).targets[target]
-        name = f"{group}/{target}"
-        owner = self._membership.find_owner(target_entry.domain, name)
-        if owner is None:
-            raise exceptions.UnavailableError(f"no gateway of {name}")
         message = wire.messages.Promote(
             group=group, target=target, action=action, term=term
         )
-        return await self._peers.call(owner.address, message, CALL_TIMEOUT_S)
+        return await self._membership.call_gateway(message, CALL_TIMEOUT_S)
 
     def _get_group(self, group):
         return self._configuration.document.groups[group]
@@ -167,16 +163,18 @@
             )
             self._detectors[group] = detector
         target_entry = self._get_group(group).targets[group_term.primary]
-        name = f"{group}/{group_term.primary}"
-        owner = self._membership.find_owner(target_entry.domain, name)
-        answer = owner and await self._probe_targets(owner, [name])
+        name = config.make_target_name(group, group_term.primary)
+        gateway = self._membership.find_gateway(
+            target_entry.domain, group, group_term.primary
+        )
+        answer = gateway and await self._probe_targets(gateway, [name])
         if answer:
             observation = promotion.PrimaryObservation(
                 True, True, bool(answer.down)
             )
         else:
             is_domain_reachable = await self._is_domain_reachable(
-                target_entry.domain, owner
+                target_entry.domain, gateway
             )
             observation = promotion.PrimaryObservation(
                 False, is_domain_reachable
@@ -196,11 +194,11 @@
             )
         return None
 
-    async def _is_domain_reachable(self, domain, owner):
-        """Return whether any VM of a domain but the owner answers."""
+    async def _is_domain_reachable(self, domain, gateway):
+        """Return whether any VM of a domain but the gateway answers."""
         view = self._membership.find_view(domain)
         for member in view.members if view else ():
-            if member != owner and await self._probe_targets(member, []):
+            if member != gateway and await self._probe_targets(member, []):
                 return True
         return False
 
--- a/src/geraniumridge/_internal/plugins/gateway.py
+++ b/src/geraniumridge/_internal/plugins/gateway.py
@@ -13,6 +13,7 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.kernel import kernel
 from geraniumridge._internal.kernel import registry
+from geraniumridge._internal.models import config
 from geraniumridge._internal.models import records
 from geraniumridge._internal.network import targets
 from geraniumridge._internal.network import wire
@@ -277,7 +278,7 @@
                         await self._close_transaction(name)
 
     def _find_executor(self, group, target):
-        name = f"{group}/{target}"
+        name = config.make_target_name(group, target)
         executor = self._executors.get(name)
         if executor is None or not self._membership.owns(name):
             raise exceptions.MisroutedError(
@@ -405,7 +406,7 @@
         domain = self._settings.vm.domain
         for group, group_entry in self._configuration.document.groups.items():
             for target, target_entry in group_entry.targets.items():
-                name = f"{group}/{target}"
+                name = config.make_target_name(group, target)
                 if target_entry.domain == domain and self._membership.owns(
                     name
                 ):
--- a/src/geraniumridge/_internal/plugins/membership.py
+++ b/src/geraniumridge/_internal/plugins/membership.py
@@ -15,6 +15,7 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.kernel import kernel
 from geraniumridge._internal.kernel import registry
+from geraniumridge._internal.models import config
 from geraniumridge._internal.models import membership
 from geraniumridge._internal.network import platform
 from geraniumridge._internal.network import wire
@@ -113,6 +114,7 @@
         """Start to send heartbeats and to read the list of VMs."""
         self._nursery = nursery
         self._peers = self._kernel.get("peers")
+        self._configuration = self._kernel.get("configuration")
         self._directory = self._kernel.get("directory")
         messages = wire.messages
         self._peers.handle(messages.Heartbeat, self._answer_heartbeat)
@@ -161,6 +163,41 @@
             return None
         return view.find_member(rendezvous.choose_node(key, view.names))
 
+    def find_gateway(self, domain, group, target):
+        """Return the `Member` that is a target's gateway, or None.
+
+        `domain` is the failure domain of the target.
+        """
+        return self.find_owner(domain, config.make_target_name(group, target))
+
+    async def call_gateway(self, message, timeout_s):
+        """Call the gateway of the target that a message names.
+
+        Parameters
+        ----------
+        message : wire message
+            The call, with a `group` and a `target`.
+        timeout_s : float
+            Timeout of the call, in seconds.
+
+        Raises
+        ------
+        exceptions.UnavailableError
+            If the gateway is not known.
+        exceptions.NetworkError
+            If the call fails.
+        exceptions.RequestError
+            If the gateway refuses the call.
+        """
+        group, target = message.group, message.target
+        document = self._configuration.document
+        domain = document.groups[group].targets[target].domain
+        gateway = self.find_gateway(domain, group, target)
+        if gateway is None:
+            name = config.make_target_name(group, target)
+            raise exceptions.UnavailableError(f"no gateway of {name}")
+        return await self._peers.call(gateway.address, message, timeout_s)
+
     def find_leader(self, domain):
         """Return the `Member` that leads a domain's cell, or None."""
         view = self.find_view(domain)
--- a/tests/unit/plugins/test_entry.py
+++ b/tests/unit/plugins/test_entry.py
@@ -72,7 +72,7 @@
         configuration=types.SimpleNamespace(document=document),
         gateway=gateway,
         membership=types.SimpleNamespace(
-            find_owner=lambda *args: LOCAL_MEMBER
+            find_gateway=lambda *args: LOCAL_MEMBER
         ),
         metrics=kernels.NoOpPlugin(),
         peers=None,
