Keep the allowance for clock drift in one place

Cause: three modules had the same factor of 1.1 without a reason for its size, and leadership multiplied it out in seven places. Ruled out: a setting, as no operator can tell the drift.

--- a/src/geraniumridge/_internal/decisions/leadership.py
+++ b/src/geraniumridge/_internal/decisions/leadership.py
@@ -14,12 +14,9 @@
 import math
 import typing
 
+from geraniumridge._internal.decisions import clock_drift
 from geraniumridge._internal.models import membership
 
-CLOCK_DRIFT_FACTOR = 1.1
-"""Factor on waits for leases that expire on other VMs' clocks, which may
-run slower."""
-
 
 class PriorState(typing.NamedTuple):
     """What a new leader knows about the time before its claim.
@@ -65,20 +62,18 @@
         self._prior_view = None
         self._bases = tuple(sorted(set(bases)))
         self._proposed_base = None
+        self._lease_wait_s = lease_s * clock_drift.CLOCK_DRIFT_FACTOR
+        # An earlier leader may count a VM for one lease after its last
+        # heartbeat; its members then use the share that they were told for
+        # one lease more.
+        self._count_delay_s = 2 * lease_s * clock_drift.CLOCK_DRIFT_FACTOR
         activation_delay_s = (
-            0.0
-            if prior_state.earlier_views_ended
-            else lease_s * CLOCK_DRIFT_FACTOR
+            0.0 if prior_state.earlier_views_ended else self._lease_wait_s
         )
         self._activate_after = now + activation_delay_s
         count_delay_s = (
-            0.0
-            if prior_state.no_earlier_view
-            else 2 * lease_s * CLOCK_DRIFT_FACTOR
+            0.0 if prior_state.no_earlier_view else self._count_delay_s
         )
-        # An earlier leader may count a VM for one lease after its last
-        # heartbeat; its members then use the share that they were told for
-        # one lease more.
         self._counted_from = {
             member.name: now + count_delay_s
             for member in self._view.members
@@ -153,8 +148,7 @@
         elif sender.name in self._echoed_stamps:
             # It followed another leader, which may still count it.
             del self._echoed_stamps[sender.name]
-            counted_from = now + 2 * self._lease_s * CLOCK_DRIFT_FACTOR
-            self._counted_from[sender.name] = counted_from
+            self._counted_from[sender.name] = now + self._count_delay_s
         return self._grant_lease(now, sender)
 
     def _handle_outsider(self, now, heartbeat):
@@ -182,9 +176,7 @@
             self._leaving.discard(heartbeat.sender.name)
 
     def _grant_lease(self, now, sender):
-        self._granted_until[sender.name] = (
-            now + self._lease_s * CLOCK_DRIFT_FACTOR
-        )
+        self._granted_until[sender.name] = now + self._lease_wait_s
         return membership.HeartbeatAnswer(
             True,
             self._view.number,
@@ -270,11 +262,8 @@
         numbers = [number for _, number in joining.values()]
         number = max([self._view.number, *numbers]) + 1
         for member in added:
-            counted_from = now + 2 * self._lease_s * CLOCK_DRIFT_FACTOR
-            self._counted_from[member.name] = counted_from
-            self._granted_until[member.name] = (
-                now + self._lease_s * CLOCK_DRIFT_FACTOR
-            )
+            self._counted_from[member.name] = now + self._count_delay_s
+            self._granted_until[member.name] = now + self._lease_wait_s
             self._echoed_stamps.pop(member.name, None)
             self._base_acks.pop(member.name, None)
             self._leaving.discard(member.name)
@@ -292,7 +281,7 @@
             return False
         # A member that has not sent a heartbeat yet is kept for one lease.
         granted_until = self._granted_until.setdefault(
-            member.name, now + self._lease_s * CLOCK_DRIFT_FACTOR
+            member.name, now + self._lease_wait_s
         )
         return now < granted_until
 
--- a/src/geraniumridge/_internal/decisions/limiter.py
+++ b/src/geraniumridge/_internal/decisions/limiter.py
@@ -11,6 +11,7 @@
 import math
 import typing
 
+from geraniumridge._internal.decisions import clock_drift
 from geraniumridge._internal.utils import rendezvous
 
 BATCH_TTL_S = 0.5
@@ -18,10 +19,6 @@
 up capacity and how long a new limiter waits for its predecessor's
 batches."""
 
-CLOCK_DRIFT_FACTOR = 1.1
-"""Factor on the life of a batch at the limiter, since the clock of the VM
-that spends it may run slower."""
-
 MAX_PREPAID_SHARE = 0.25
 """Largest part of a bucket's level that one request for tokens may get in
 advance; the rest is left to other VMs."""
@@ -136,7 +133,7 @@
     def __init__(self, now):
         self._level = 0.0
         # Batches of the previous limiter may still be spent.
-        self._filled_at = now + BATCH_TTL_S * CLOCK_DRIFT_FACTOR
+        self._filled_at = now + BATCH_TTL_S * clock_drift.CLOCK_DRIFT_FACTOR
         self._ready_at = self._filled_at
         self._batches = {}
         self._next_batch_number = 1
@@ -181,7 +178,7 @@
             number = self._next_batch_number
             self._next_batch_number += 1
             self._level -= granted
-            expires_at = now + BATCH_TTL_S * CLOCK_DRIFT_FACTOR
+            expires_at = now + BATCH_TTL_S * clock_drift.CLOCK_DRIFT_FACTOR
             self._batches[number] = Batch(granted, expires_at)
         return GrantResult(
             granted,
--- a/src/geraniumridge/_internal/decisions/promotion.py
+++ b/src/geraniumridge/_internal/decisions/promotion.py
@@ -11,12 +11,9 @@
 import math
 import typing
 
+from geraniumridge._internal.decisions import clock_drift
 from geraniumridge._internal.models import records
 
-CLOCK_DRIFT_FACTOR = 1.1
-"""Factor on waits for evidence that expires on other VMs' clocks, which may
-run slower."""
-
 OLD_PRIMARY_ELIGIBLE_AFTER_S = 3.0
 """Time after the demotion of the old primary from which it may itself be
 promoted again; until then replicas may catch up with it."""
@@ -64,7 +61,9 @@
 
     def __init__(self, plan, now):
         self._plan = plan
-        self._reads_lapse_at = now + plan.ttl_s * CLOCK_DRIFT_FACTOR
+        self._reads_lapse_at = (
+            now + plan.ttl_s * clock_drift.CLOCK_DRIFT_FACTOR
+        )
         self._promises_lapse_at = {}
         self._demoted_log_position = None
         self._demoted_eligible_at = math.inf
@@ -94,7 +93,7 @@
             How long its earlier promises may still be valid, in seconds.
         """
         self._promises_lapse_at[domain] = (
-            now + remaining_s * CLOCK_DRIFT_FACTOR
+            now + remaining_s * clock_drift.CLOCK_DRIFT_FACTOR
         )
 
     def note_demoted(self, now, log_position):
