Name the lead of confirmations and the timeout of heartbeats

Cause: 0.35 s in quorum_exchange and half a lease in the membership plug-in were bare numbers. Ruled out: to compute the 0.35 s from the interval of requests and the time of an answer, as nothing else states the latter. Change: REQUEST_LEAD_S and CALL_TIMEOUT_LEASES, each with its reason; both values are as before.

--- a/src/geraniumridge/_internal/plugins/membership.py
+++ b/src/geraniumridge/_internal/plugins/membership.py
@@ -32,6 +32,11 @@
 LEAVE_POLL_S = 0.05
 """Interval at which a stopping VM checks whether it has left the cell."""
 
+CALL_TIMEOUT_LEASES = 0.5
+"""Timeout of a heartbeat or claim, in lengths of a lease. A lease counts from
+the sending of its heartbeat, so that at least this much of it is left when a
+granted one is answered."""
+
 RESIGN_WAIT_HEARTBEATS = 5
 """Heartbeat intervals that a leader waits after it resigned, so that
 another VM can become the leader."""
@@ -288,8 +293,8 @@
         )
 
     async def _call(self, address, message):
-        """Call a peer and return the answer; wait at most half a lease."""
-        timeout_s = self._settings.cell.lease_s / 2
+        """Call a peer and return the answer."""
+        timeout_s = CALL_TIMEOUT_LEASES * self._settings.cell.lease_s
         return await self._peers.call(address, message, timeout_s)
 
     async def _answer_heartbeat(self, message):
--- a/src/geraniumridge/_internal/proxy/quorum_exchange.py
+++ b/src/geraniumridge/_internal/proxy/quorum_exchange.py
@@ -8,14 +8,16 @@
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.utils import clock
 
-REQUEST_AGE_S = primary_resolver.MAX_UNCONFIRMED_AGE_S - 0.35
-"""Age of the store view from which the other members are asked: 0.35 s before
-a confirmation is needed, so that the answer to a second request still
-arrives in time."""
-
 REQUEST_INTERVAL_S = 0.25
 """Minimum time between requests."""
 
+REQUEST_LEAD_S = 0.35
+"""How long before a confirmation is needed the other members are asked first:
+for a second request after `REQUEST_INTERVAL_S`, and its answer."""
+
+REQUEST_AGE_S = primary_resolver.MAX_UNCONFIRMED_AGE_S - REQUEST_LEAD_S
+"""Age of the store view from which the other members are asked."""
+
 MAX_GROUPS = 16
 """Maximum number of groups in an answer, so that it fits a datagram."""
 
