Remove a bound without effect from the announced delay of a limiter

Cause: while the batches granted take up all of a team's burst, _compute_retry_delay raised the delay to at most MIN_RETRY_DELAY_S, which its last line does in any case. Ruled out: to announce the end of the next batch instead, which may be what was meant; callers would then wait longer, and a batch may be closed before its end. Change: the lines are gone.

--- a/src/geraniumridge/_internal/decisions/limiter.py
+++ b/src/geraniumridge/_internal/decisions/limiter.py
@@ -206,9 +206,4 @@
             return math.inf
         delay_s = max(0.0, self._filled_at - now)
         delay_s += (1 - self._level) / allowance.rate
-        if self._batches and allowance.burst - self.outstanding < 1:
-            batch_ends_at = min(
-                batch.expires_at for batch in self._batches.values()
-            )
-            delay_s = max(delay_s, min(batch_ends_at - now, MIN_RETRY_DELAY_S))
         return max(delay_s, MIN_RETRY_DELAY_S)
