Write the calls that may fail once in the failover plug-in

Cause: eight places suppressed the same errors around a control action or a call of a VM. Ruled out: the same for the other plug-ins, which log the error, go on to another VM or wait, each in its own way. Change: _try_control_action and _try_call return None instead; the request to close a group, which has an error of its own, stays as it is.

--- a/src/geraniumridge/_internal/plugins/failover.py
+++ b/src/geraniumridge/_internal/plugins/failover.py
@@ -85,6 +85,24 @@
         )
         return await self._membership.call_gateway(message, CALL_TIMEOUT_S)
 
+    async def _try_control_action(self, group, target, action, term=0):
+        """Run a control action; return its status, None if it fails."""
+        with contextlib.suppress(
+            exceptions.NetworkError, exceptions.RequestError
+        ):
+            return await self.run_control_action(group, target, action, term)
+        return None
+
+    async def _try_call(self, member, message):
+        """Call a VM; return its answer, None if the call fails."""
+        with contextlib.suppress(
+            exceptions.NetworkError, exceptions.RequestError
+        ):
+            return await self._peers.call(
+                member.address, message, CALL_TIMEOUT_S
+            )
+        return None
+
     def _get_group(self, group):
         return self._configuration.document.groups[group]
 
@@ -141,13 +159,12 @@
         targets = self._get_group(group).targets
         answers = 0
         for target in targets:
-            with contextlib.suppress(
-                exceptions.NetworkError, exceptions.RequestError
-            ):
-                status = await self.run_control_action(group, target, "status")
-                answers += 1
-                if status.is_primary and (not best or status.term > best[0]):
-                    best = (status.term, target)
+            status = await self._try_control_action(group, target, "status")
+            if status is None:
+                continue
+            answers += 1
+            if status.is_primary and (not best or status.term > best[0]):
+                best = (status.term, target)
         # A minority of the targets may know a former primary only.
         if best is not None and answers * MAJORITY_DIVISOR > len(targets):
             group_term = records.GroupTerm(*best)
@@ -186,13 +203,7 @@
     async def _probe_targets(self, member, names):
         """Return a VM's answer to a probe of some targets, or None."""
         message = wire.messages.Probe(targets=names)
-        with contextlib.suppress(
-            exceptions.NetworkError, exceptions.RequestError
-        ):
-            return await self._peers.call(
-                member.address, message, CALL_TIMEOUT_S
-            )
-        return None
+        return await self._try_call(member, message)
 
     async def _is_domain_reachable(self, domain, gateway):
         """Return whether any VM of a domain but the gateway answers."""
@@ -233,14 +244,9 @@
         if owner is None:
             return
         message = wire.messages.Suspicion(group=group, term=group_term.term)
-        with contextlib.suppress(
-            exceptions.NetworkError, exceptions.RequestError
-        ):
-            answer = await self._peers.call(
-                owner.address, message, CALL_TIMEOUT_S
-            )
-            if answer.agreed:
-                agreeing_domains.append(domain)
+        answer = await self._try_call(owner, message)
+        if answer is not None and answer.agreed:
+            agreeing_domains.append(domain)
 
     def _list_targets_in_service(self, group):
         document = self._configuration.document
@@ -269,12 +275,9 @@
         preferred = self._get_group(group).primary
         wanted = {preferred} & in_service or in_service
         for target in wanted - {group_term.primary}:
-            with contextlib.suppress(
-                exceptions.NetworkError, exceptions.RequestError
-            ):
-                status = await self.run_control_action(group, target, "status")
-                if status.term == old_status.term:
-                    return True
+            status = await self._try_control_action(group, target, "status")
+            if status is not None and status.term == old_status.term:
+                return True
         return False
 
     def _take_over_stale_failover(self, group, group_term, now):
@@ -404,25 +407,18 @@
 
     async def _demote_primary(self, decision):
         plan = decision.plan
-        with contextlib.suppress(
-            exceptions.NetworkError, exceptions.RequestError
-        ):
-            status = await self.run_control_action(
-                plan.group, plan.old_primary, "demote", plan.term
-            )
-            if not status.is_primary:
-                log_position = records.LogPosition(
-                    status.term, status.position
-                )
-                decision.note_demoted(trio.current_time(), log_position)
+        status = await self._try_control_action(
+            plan.group, plan.old_primary, "demote", plan.term
+        )
+        if status is not None and not status.is_primary:
+            log_position = records.LogPosition(status.term, status.position)
+            decision.note_demoted(trio.current_time(), log_position)
 
     async def _query_status(self, target, decision):
-        with contextlib.suppress(
-            exceptions.NetworkError, exceptions.RequestError
-        ):
-            status = await self.run_control_action(
-                decision.plan.group, target, "status"
-            )
+        status = await self._try_control_action(
+            decision.plan.group, target, "status"
+        )
+        if status is not None:
             log_position = records.LogPosition(status.term, status.position)
             decision.note_status(target, log_position)
 
@@ -433,19 +429,16 @@
         status is read before the next attempt.
         """
         while True:
-            try:
-                status = await self.run_control_action(
-                    group, target, "promote", pending.term
-                )
-            except (exceptions.NetworkError, exceptions.RequestError):
-                await trio.sleep(FAILOVER_POLL_INTERVAL_S)
-                with contextlib.suppress(
-                    exceptions.NetworkError, exceptions.RequestError
-                ):
-                    status = await self.run_control_action(
-                        group, target, "status"
-                    )
-                    if status.is_primary and status.term == pending.term:
-                        return status.position
-                continue
-            return status.position
+            status = await self._try_control_action(
+                group, target, "promote", pending.term
+            )
+            if status is not None:
+                return status.position
+            await trio.sleep(FAILOVER_POLL_INTERVAL_S)
+            status = await self._try_control_action(group, target, "status")
+            if (
+                status is not None
+                and status.is_primary
+                and status.term == pending.term
+            ):
+                return status.position
