Remove a time that nothing reads from the configuration plug-in

Cause: _accepted_at was set at the start and never read. Ruled out: a reader by another name; the word stands nowhere else in the project. Change: the line.

--- a/src/geraniumridge/_internal/plugins/configuration.py
+++ b/src/geraniumridge/_internal/plugins/configuration.py
@@ -45,7 +45,6 @@
         self._chain = chain.ConfigChain()
         self._leader_version = 0
         self._is_fetching = False
-        self._accepted_at = trio.current_time()
 
     @property
     def document(self):
