Check the lengths in a datagram before it is decoded

What was seen: a datagram of eight bytes kept a process busy for 1.4 s and made it allocate 2 GB; a list of strings in nine bytes took memory up to the test's limit of 6 GB; a skipped list in nine bytes took 16.9 s of processor time. Any sender can so stall a VM, or end its process where memory is short.

Cause: the decoder of thriftpy2 allocates as much as the length of a string claims and repeats as often as a list or map claims, and its transport reads beyond the end without an error. A truncated message decoded, too, with whatever the memory held.

Ruled out: the nesting, which the decoder bounds itself; a negative length, which decodes as an empty value at once.

Change: a walk over the types and lengths of the struct compares each with the size of the datagram first. Every item moves the position by a byte at least, so the data bounds memory and repetitions. Nothing changes on the wire.

--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -11,6 +11,7 @@
 
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.network import streams
+from geraniumridge._internal.network import thrift_check
 
 logger = logging.getLogger(__name__)
 
@@ -56,11 +57,14 @@
     Raises
     ------
     exceptions.ProtocolError
-        If the type is unknown or a field is missing or malformed.
+        If the type is unknown or a field is missing, malformed or longer
+        than the datagram.
     """
     try:
         message = _MESSAGE_TYPES[data[0]]()
-        utils.deserialize(message, data[1:], _FACTORY)
+        fields = data[1:]
+        thrift_check.check_struct(fields)
+        utils.deserialize(message, fields, _FACTORY)
     except Exception as error:
         raise exceptions.ProtocolError(f"datagram: {error!r}")
     if None in vars(message).values():
