Answer a HEAD request without a body, whatever the answer is

What was seen: a HEAD request ended the whole process wherever the answer has a body: on the callers' port of the HTTP interface, the operators' port and the metrics' port. The readiness probe's port has empty answers, but a HEAD request whose header or body is too large or malformed got a problem document there, and ended the process as well.

Cause: h11 takes no body for a HEAD request and raises LocalProtocolError; that left the task of the connection and cancelled the tasks beside it.

Ruled out: HTTP/1.0, an Upgrade header, Expect, trailers, a body that ends early, lengths that are negative or too long, and garbage are answered or refused as they should be (a trial, each on its own server).

Change: the connection remembers that the request is a HEAD request and sends the head alone, with the length that a GET request would see.

Tests: all eight cases failed before with LocalProtocolError; they pass.

--- a/src/geraniumridge/_internal/network/http.py
+++ b/src/geraniumridge/_internal/network/http.py
@@ -101,6 +101,7 @@
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self._is_idle = True
+        self._is_head_request = False
         # Moving the deadline of one scope costs less than opening a scope
         # for each phase of a request.
         self._deadline_scope = trio.CancelScope()
@@ -131,6 +132,7 @@
 
     async def _serve_request(self):
         self._is_idle = True
+        self._is_head_request = False
         try:
             request = await self._read_request()
         except h11.RemoteProtocolError as error:
@@ -162,6 +164,7 @@
         head = await self._read_head()
         if head is None:
             return None
+        self._is_head_request = head.method == b"HEAD"
         size = sum(len(name) + len(value) for name, value in head.headers)
         if size > self._limits.max_header_bytes:
             # h11 checks its limit only on incomplete heads, so a head that
@@ -238,7 +241,8 @@
             headers.append(("Connection", "close"))
         head = h11.Response(status_code=response.status, headers=headers)
         data = self._conn.send(head)
-        data += self._conn.send(h11.Data(data=response.body))
+        if not self._is_head_request:
+            data += self._conn.send(h11.Data(data=response.body))
         data += self._conn.send(h11.EndOfMessage())
         self._set_timeout(self._limits.send_timeout_s)
         await self._stream.send_all(data)
--- /dev/null
+++ b/tests/unit/network/test_http.py
@@ -0,0 +1,81 @@
+"""Requests that an HTTP server refuses or answers in an unusual way."""
+
+import pytest
+import trio
+from trio import testing
+
+from geraniumridge._internal.network import http
+
+TIMEOUT_S = 10.0
+"""Timeout of one exchange, in seconds."""
+
+ANSWER = b'{"answer": 1}'
+
+OVERSIZED_HEADER = b"X-Large: " + b"x" * 20_000 + b"\r\n"
+OVERSIZED_BODY = b"x" * 1_100_000
+
+
+async def answer_body(request):
+    """Answer any request with a body."""
+    return http.Response(200, ANSWER)
+
+
+async def answer_status(request):
+    """Answer any request without a body."""
+    return http.Response(200, b"")
+
+
+def exchange(data, handler=answer_body):
+    """Send bytes to a server and return all that it sends back.
+
+    An exception of the server's task fails the test.
+    """
+
+    async def run():
+        client, server = testing.memory_stream_pair()
+        received = bytearray()
+        with trio.fail_after(TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                connection = http.ServerConnection(server, handler)
+                nursery.start_soon(connection.run)
+                await client.send_all(data)
+                await client.send_eof()
+                async for chunk in client:
+                    received += chunk
+        return bytes(received)
+
+    return trio.run(run)
+
+
+def test_head_request_is_answered_without_the_body():
+    received = exchange(b"HEAD / HTTP/1.1\r\nHost: vm\r\n\r\n")
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 ")
+    assert b"Content-Length: %d" % len(ANSWER) in head
+    assert body == b""
+
+
+def test_connection_serves_requests_after_a_head_request():
+    received = exchange(
+        b"HEAD / HTTP/1.1\r\nHost: vm\r\n\r\n"
+        b"GET / HTTP/1.1\r\nHost: vm\r\n\r\n"
+    )
+    assert received.count(b"HTTP/1.1 200 ") == 2
+    assert received.endswith(b"\r\n\r\n" + ANSWER)
+
+
+@pytest.mark.parametrize("handler", [answer_body, answer_status])
+@pytest.mark.parametrize(
+    "rest",
+    [
+        OVERSIZED_HEADER + b"\r\n",
+        b"Content-Length: 1100000\r\n\r\n" + OVERSIZED_BODY,
+        b"Transfer-Encoding: chunked\r\n\r\nnot a size\r\n",
+    ],
+    ids=["header", "body", "chunk"],
+)
+def test_refused_head_request_does_not_end_the_server(rest, handler):
+    received = exchange(b"HEAD / HTTP/1.1\r\nHost: vm\r\n" + rest, handler)
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 4")
+    assert body == b""
