Refuse the CONNECT method

What was seen: a CONNECT request ended the whole process on every port that answers any method with 200: the readiness probe's, the metrics' and the operators' port, whatever the body.

Cause: h11 takes 200 as the start of a tunnel, allows no body after it and raises LocalProtocolError, which left the connection's task.

Ruled out: an answer other than 2xx, which h11 sends as it is; so the callers' port, which has no such route, refused it all the time.

Change: the server refuses the method with 405 before a handler sees it.

Tests: both cases failed before with LocalProtocolError; they pass.

--- a/src/geraniumridge/_internal/network/http.py
+++ b/src/geraniumridge/_internal/network/http.py
@@ -165,6 +165,8 @@
         if head is None:
             return None
         self._is_head_request = head.method == b"HEAD"
+        if head.method == b"CONNECT":
+            raise exceptions.MethodNotAllowedError("CONNECT: not a proxy")
         size = sum(len(name) + len(value) for name, value in head.headers)
         if size > self._limits.max_header_bytes:
             # h11 checks its limit only on incomplete heads, so a head that
--- a/tests/unit/network/test_http.py
+++ b/tests/unit/network/test_http.py
@@ -79,3 +79,9 @@
     head, _, body = received.partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 4")
     assert body == b""
+
+
+@pytest.mark.parametrize("handler", [answer_body, answer_status])
+def test_connect_request_is_refused(handler):
+    received = exchange(b"CONNECT vm:80 HTTP/1.1\r\nHost: vm\r\n\r\n", handler)
+    assert received.startswith(b"HTTP/1.1 405 ")
