Add up the size of a request's body chunk by chunk

What was seen: a body of 20,000 chunks of one byte, 120 kB in all, took 3.2 s of processor time, one of 40,000 chunks 13.7 s (a trial); the limit of a megabyte allows a million. All callers of the process wait meanwhile, as the chunks of one read are taken without a pause.

Cause: the size of the parts so far was added up again for each chunk.

Ruled out: h11 itself, whose time grows in proportion to the chunks; many headers, which its limit bounds.

Change: the body grows in one buffer, whose size is known.

Tests: a body of 30,000 chunks was not read within 10 s before; it is now, in less than 2 s of processor time. A second test holds the limit for a chunked body; it passed before.

--- a/src/geraniumridge/_internal/network/http.py
+++ b/src/geraniumridge/_internal/network/http.py
@@ -178,13 +178,13 @@
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in head.headers
         }
-        parts = []
-        await self._read_body(parts)
+        body = bytearray()
+        await self._read_body(body)
         return Request(
             head.method.decode(),
             head.target.decode(),
             headers,
-            b"".join(parts),
+            bytes(body),
         )
 
     async def _read_head(self):
@@ -210,8 +210,8 @@
         self._conn.receive_data(data)
         return data
 
-    async def _read_body(self, parts):
-        while not self._parse_body(parts):
+    async def _read_body(self, body):
+        while not self._parse_body(body):
             if self._conn.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(
                     status_code=100, headers=[]
@@ -219,7 +219,7 @@
                 await self._stream.send_all(self._conn.send(continue_response))
             await self._receive()
 
-    def _parse_body(self, parts):
+    def _parse_body(self, body):
         """Append the received data; return whether the body is complete."""
         while True:
             event = self._conn.next_event()
@@ -227,8 +227,8 @@
                 return False
             if not isinstance(event, h11.Data):
                 return True
-            parts.append(bytes(event.data))
-            if sum(map(len, parts)) > self._limits.max_body_bytes:
+            body += event.data
+            if len(body) > self._limits.max_body_bytes:
                 raise exceptions.RequestTooLargeError(
                     f"body: larger than {self._limits.max_body_bytes} bytes"
                 )
--- a/tests/unit/network/test_http.py
+++ b/tests/unit/network/test_http.py
@@ -1,5 +1,7 @@
 """Requests that an HTTP server refuses or answers in an unusual way."""
 
+import time
+
 import pytest
 import trio
 from trio import testing
@@ -9,6 +11,9 @@
 TIMEOUT_S = 10.0
 """Timeout of one exchange, in seconds."""
 
+MAX_BODY_S = 2.0
+"""Processor time that reading a body may take, in seconds."""
+
 ANSWER = b'{"answer": 1}'
 
 OVERSIZED_HEADER = b"X-Large: " + b"x" * 20_000 + b"\r\n"
@@ -85,3 +90,24 @@
 def test_connect_request_is_refused(handler):
     received = exchange(b"CONNECT vm:80 HTTP/1.1\r\nHost: vm\r\n\r\n", handler)
     assert received.startswith(b"HTTP/1.1 405 ")
+
+
+def test_body_of_many_small_chunks_does_not_stall_the_server():
+    started_at = time.process_time()
+    received = exchange(
+        b"POST / HTTP/1.1\r\nHost: vm\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"1\r\nx\r\n" * 30_000
+        + b"0\r\n\r\n"
+    )
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert time.process_time() - started_at < MAX_BODY_S
+
+
+def test_chunked_body_over_the_limit_is_refused():
+    chunk = b"4000\r\n" + b"x" * 0x4000 + b"\r\n"
+    received = exchange(
+        b"POST / HTTP/1.1\r\nHost: vm\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + chunk * 62
+        + b"0\r\n\r\n"
+    )
+    assert received.startswith(b"HTTP/1.1 413 ")
