Ignore an answer of another type than its query asks for

The numbers count from one, so any sender can guess them; after a restart a late answer to the process before can carry one, too.

Cause: an answer was matched with its query by the number alone, and one counter serves both kinds of query.

Ruled out: the numbers themselves, as a repeated answer after the first is dropped.

Change: a query knows the type of its answer, and others are ignored; it then waits for the right one or times out.

Tests: both cases of a wrong type failed before; they pass. Two cases of the right type passed before, too.

--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -23,11 +23,16 @@
 MAX_DATAGRAM_BYTES = 2_048
 """Size of the receive buffer; longer datagrams are truncated."""
 
-ANSWER_TYPES = (messages.TokenGrant, messages.ViewStatusAnswer)
+ANSWER_TYPES_BY_QUERY = {
+    messages.TokenRequest: messages.TokenGrant,
+    messages.ViewStatusQuery: messages.ViewStatusAnswer,
+}
 """Messages that answer one query, identified by its number. A
 `ConfirmationAnswer` is passed to a handler, as its request goes to many
 VMs."""
 
+_ANSWER_TYPES = tuple(ANSWER_TYPES_BY_QUERY.values())
+
 _FACTORY = cybin.TCyBinaryProtocolFactory()
 # The index of a type is sent in datagrams, so the order must not change.
 _MESSAGE_TYPES = (
@@ -75,7 +80,8 @@
 class _PendingQuery:
     """Query that waits for its answer."""
 
-    def __init__(self):
+    def __init__(self, query):
+        self.answer_type = ANSWER_TYPES_BY_QUERY[type(query)]
         self.answered = trio.Event()
         self.answer = None
 
@@ -151,7 +157,7 @@
             None without an answer in time.
         """
         query.number = next(self._numbers)
-        pending = self._pending_queries[query.number] = _PendingQuery()
+        pending = self._pending_queries[query.number] = _PendingQuery(query)
         try:
             await self.send_to_members(query, [member])
             with trio.move_on_after(timeout_s):
@@ -161,12 +167,15 @@
             del self._pending_queries[query.number]
 
     async def dispatch(self, message, sender):
-        """Pass an answer to its query, another message to its handler."""
-        if not isinstance(message, ANSWER_TYPES):
+        """Pass an answer to its query, another message to its handler.
+
+        An answer of another type than its query asks for is ignored.
+        """
+        if not isinstance(message, _ANSWER_TYPES):
             await self._handlers[type(message)](message, sender)
             return
         pending = self._pending_queries.get(message.number)
-        if pending is not None:
+        if pending is not None and isinstance(message, pending.answer_type):
             pending.answer = message
             pending.answered.set()
 
--- a/tests/unit/network/test_datagrams.py
+++ b/tests/unit/network/test_datagrams.py
@@ -6,9 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
+import trio
 
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.network import datagrams
+from lib import fleets
 
 ViewStatusQuery = datagrams.messages.ViewStatusQuery
 ConfirmationRequest = datagrams.messages.ConfirmationRequest
@@ -33,6 +35,9 @@
 MAX_DECODE_S = 0.2
 """Processor time that decoding a short datagram may take, in seconds."""
 
+QUERY_TIMEOUT_S = 0.05
+"""Timeout of a query, in seconds."""
+
 CLAIMED_LENGTHS = {
     "skipped string": "00 0b0000 13000000",
     "skipped binary": "00 120009 13000000",
@@ -122,3 +127,64 @@
     data = datagrams.encode(TokenRequest(number=1, team="team"))
     with pytest.raises(exceptions.ProtocolError):
         datagrams.decode(data)
+
+
+class LoopbackPeers(datagrams.Peers):
+    """Datagram endpoint that receives a given answer to each query.
+
+    Parameters
+    ----------
+    make_answer : callable
+        Returns the answer to a query.
+    """
+
+    def __init__(self, make_answer):
+        super().__init__("127.0.0.1:1")
+        self._make_answer = make_answer
+
+    async def send(self, message, address):
+        """Dispatch the answer in place of sending the query."""
+        await self.dispatch(self._make_answer(message), address)
+
+
+def run_query(query, make_answer):
+    """Return the answer that a query gets."""
+    member = fleets.make_member("vm-2")._replace(address="127.0.0.1:2")
+    peers = LoopbackPeers(make_answer)
+    return trio.run(peers.query, query, member, QUERY_TIMEOUT_S)
+
+
+def make_grant(query):
+    """Return a token grant with the number of a query."""
+    return TokenGrant(
+        number=query.number, is_owner=True, tokens=1, retry_ms=0, pledge=0
+    )
+
+
+def make_view_status(query):
+    """Return a view status with the number of a query."""
+    return ViewStatusAnswer(number=query.number, changed=7, age_ms=1)
+
+
+@pytest.mark.parametrize(
+    "query, make_answer",
+    [
+        (TokenRequest(team="team", wanted=3), make_grant),
+        (ViewStatusQuery(), make_view_status),
+    ],
+)
+def test_answer_of_the_type_of_the_query_is_returned(query, make_answer):
+    assert run_query(query, make_answer) == make_answer(query)
+
+
+@pytest.mark.parametrize(
+    "query, make_answer",
+    [
+        (TokenRequest(team="team", wanted=3), make_view_status),
+        (ViewStatusQuery(), make_grant),
+    ],
+)
+def test_answer_of_another_type_than_the_query_asks_for_is_ignored(
+    query, make_answer
+):
+    assert run_query(query, make_answer) is None
