Bound the fallback rate in a token grant to what its field holds

What was seen: a token request for 2**31 - 1 tokens of a team with a limit of 1e10 per second ended the task that receives datagrams, and so the process, with OverflowError.

Cause: the fallback rate follows the tokens granted, and in thousandths of a token per second it needs more than the 32 bits of its field from about 2.1 million tokens per second on. The limiter doesn't bound what it is asked for but by the limit.

Ruled out: the tokens, which the request's own 32 bits bound; the delay, which has a bound. Random messages of all types, with any numbers and names, raise nothing else in the handlers of limits, confirmations and view status (100 examples of up to five messages).

Change: the rate sent is at most the largest that the field holds.

Tests: the test of the grant failed before, and passes. The one of random messages passed before, too; it guards the handlers.

--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -44,6 +44,9 @@
 FALLBACK_RATE_SCALE = 1_000
 """Messages carry fallback rates in thousandths of a token per second."""
 
+MAX_ENCODED_RATE = 2**31 - 1
+"""Largest fallback rate in a message, which has 32 bits for it."""
+
 
 class _TeamState:
     """Tokens and fallback rate of one team at this VM."""
@@ -281,12 +284,15 @@
             requester, allowance, wanted, now
         )
         retry_ms = min(MAX_RETRY_DELAY_MS, retry_s * 1000)
+        encoded_rate = min(
+            MAX_ENCODED_RATE, int(fallback_rate * FALLBACK_RATE_SCALE)
+        )
         return datagrams.messages.TokenGrant(
             number=number,
             is_owner=True,
             tokens=tokens,
             retry_ms=int(retry_ms),
-            pledge=int(fallback_rate * FALLBACK_RATE_SCALE),
+            pledge=encoded_rate,
         )
 
     def _is_limiter(self, team, now):
--- /dev/null
+++ b/tests/unit/proxy/test_datagram_handlers.py
@@ -0,0 +1,143 @@
+"""Handlers of datagrams take any message that can be decoded."""
+
+import types
+
+from hypothesis import given
+from hypothesis import strategies as st
+import trio
+
+from geraniumridge._internal.decisions import quorum
+from geraniumridge._internal.decisions import view
+from geraniumridge._internal.decisions import view_age
+from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import fleet
+from geraniumridge._internal.network import datagrams
+from geraniumridge._internal.ports import store
+from geraniumridge._internal.proxy import limits
+from geraniumridge._internal.proxy import quorum_exchange
+from geraniumridge._internal.proxy import view_exchange
+from geraniumridge._internal.utils import clock
+from lib import fleets
+
+messages = datagrams.messages
+
+MAX_I32 = 2**31 - 1
+LARGE_LIMIT = 1e10
+"""Tokens per second and burst of a team that is not limited in effect."""
+
+SENDER = ("127.0.0.1", 9)
+
+numbers = st.integers(-(2**63), 2**63 - 1)
+counts = st.integers(-(2**31), MAX_I32)
+names = st.one_of(st.just("team"), st.text(max_size=20))
+any_message = st.one_of(
+    st.builds(
+        messages.TokenRequest, number=numbers, team=names, wanted=counts
+    ),
+    st.builds(
+        messages.TokenGrant,
+        number=numbers,
+        is_owner=st.booleans(),
+        tokens=counts,
+        retry_ms=counts,
+        pledge=counts,
+    ),
+    st.builds(messages.ConfirmationRequest, number=numbers, revision=numbers),
+    st.builds(
+        messages.ConfirmationAnswer,
+        number=numbers,
+        vm=names,
+        groups=st.lists(names, max_size=20),
+        is_whole=st.booleans(),
+    ),
+    st.builds(messages.ViewStatusQuery, number=numbers),
+    st.builds(
+        messages.ViewStatusAnswer,
+        number=numbers,
+        changed=numbers,
+        age_ms=numbers,
+    ),
+    st.builds(messages.ChangeNotification, vm=names),
+)
+
+
+class EncodingPeers(datagrams.Peers):
+    """Datagram endpoint that encodes what it sends, and records it."""
+
+    def __init__(self):
+        super().__init__("127.0.0.1:1")
+        self.sent = []
+
+    async def send(self, message, address):
+        """Record a message after encoding and decoding it."""
+        self.sent.append(datagrams.decode(datagrams.encode(message)))
+
+
+def make_peers():
+    """Return the endpoint of a VM with all handlers.
+
+    The VM limits a team whose limit is very large.
+    """
+    now = clock.now()
+    store_view = view.View(lambda key, value: value)
+    member = fleets.make_member("vm-1")._replace(is_settled=True)
+    store_view.replace(
+        now,
+        store.Listing(
+            (store.Item(fleet.make_member_key("vm-1"), member, 1),), 1
+        ),
+    )
+    team = desired.Team("team", rate_per_s=LARGE_LIMIT, burst=LARGE_LIMIT)
+    age = view_age.ViewAge()
+    age.confirm(now)
+    node = types.SimpleNamespace(
+        view=types.SimpleNamespace(
+            state=types.SimpleNamespace(teams={"team": team}),
+            members=store_view.members,
+            roster=store_view.roster,
+            list_groups_with_newer_lead=(
+                store_view.list_groups_with_newer_lead
+            ),
+            last_change_revision=store_view.last_change_revision,
+        ),
+        view_age=age,
+        confirmations=quorum.QuorumConfirmations(),
+        lease_until=now + 3600,
+        primary_resolver=types.SimpleNamespace(
+            is_self_registered=lambda: True
+        ),
+        settings=types.SimpleNamespace(
+            vm=types.SimpleNamespace(name="vm-1", domain="north")
+        ),
+    )
+    peers = EncodingPeers()
+    limits.Limits(node, peers)
+    view_exchange.ViewExchange(node, peers)
+    quorum_exchange.QuorumExchange(node, peers)
+    return peers
+
+
+@given(st.lists(any_message, max_size=5))
+def test_any_message_is_handled(received):
+    peers = make_peers()
+
+    async def dispatch_all():
+        for message in received:
+            message = datagrams.decode(datagrams.encode(message))
+            await peers.dispatch(message, SENDER)
+
+    trio.run(dispatch_all)
+
+
+def test_grant_of_a_very_large_limit_can_be_encoded():
+    """The fallback rate is sent in thousandths, in 32 bits."""
+    peers = make_peers()
+    request = messages.TokenRequest(number=1, team="team", wanted=MAX_I32)
+
+    async def request_tokens():
+        for _ in range(20):
+            await trio.sleep(0.01)
+            await peers.dispatch(request, SENDER)
+
+    trio.run(request_tokens)
+    assert peers.sent[-1].tokens > 0
