Treat a target with a malformed address as unreachable

What was seen: a replica's store entry with the address "nowhere", an empty one, a port of 99999 or a zero byte in it: callers of bounded reads lost their connections without an answer, each with "session failed" in the log (a trial of 30 sessions for each address, with one proxy and three sound instances; the host name that does not resolve did no harm). Entries may come from other writers, and name no target then.

Cause: the split of an address raised ValueError, and the connect call OverflowError or TypeError, where callers of both expect NetworkError or OSError. A session took that for a fault of its own and ended.

Ruled out: fields that are missing or of another type, unknown states and bytes that cannot be read; they are left out when the entry is decoded.

Change: the split checks port and host and raises NotSentError, so the statement goes on to another target, as after a refused connection. The entry still counts as a registered target until it is decoded with the same check; that is left to do.

The unit tests pass.

--- a/src/geraniumridge/_internal/network/streams.py
+++ b/src/geraniumridge/_internal/network/streams.py
@@ -1,5 +1,6 @@
 """TCP streams, with TLS if it is configured."""
 
+import re
 import ssl
 
 import trio
@@ -9,6 +10,10 @@
 CONNECT_TIMEOUT_S = 1.0
 """Default timeout of a connection attempt, TLS handshake included."""
 
+MAX_PORT = 65_535
+
+_PORT_PATTERN = re.compile("[0-9]{1,5}")
+
 _source_host = trio.lowlevel.RunVar("source_host", default=None)
 
 
@@ -18,9 +23,20 @@
 
 
 def split_address(address):
-    """Return the host and port of ``IP:port``."""
+    """Return the host and port of ``IP:port``.
+
+    Raises
+    ------
+    exceptions.NotSentError
+        If the address is malformed.
+    """
     host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
+    host = host.strip("[]")
+    is_host = host.isascii() and "\0" not in host
+    is_port = _PORT_PATTERN.fullmatch(port) and int(port) <= MAX_PORT
+    if not (is_host and is_port):
+        raise exceptions.NotSentError(f"{address!r}: malformed address")
+    return host, int(port)
 
 
 def make_server_context(tls, require_peer):
