Check the lengths in a peer's frame before it is decoded

What was seen: a frame of a few bytes, sent before any authentication, made the process allocate the 318 MB that a string in it claimed, or kept it busy for as long as a list in it claimed; the connection waits meanwhile, and so do all others.

Cause: the same as for datagrams: the decoder believes the lengths. A frame's own length has a limit of 16 MB, and nothing is allocated for it before the bytes arrive, but it was not compared with the lengths inside.

Ruled out: the frame's header, whose limit holds; an unknown type, which is refused.

Change: the walk that checks datagrams checks frames, too. Nothing changes on the wire.

Tests: four of six cases of a malformed hello failed before; they pass. The other two and the sound hello passed before, too.

--- a/src/geraniumridge/_internal/network/wire.py
+++ b/src/geraniumridge/_internal/network/wire.py
@@ -12,6 +12,7 @@
 from thriftpy2 import utils
 
 from geraniumridge._internal import exceptions
+from geraniumridge._internal.network import thrift_check
 from geraniumridge._internal.utils import codec
 
 messages = thriftpy2.load(
@@ -46,6 +47,7 @@
     """
     try:
         message = _MESSAGE_TYPES[type_number]()
+        thrift_check.check_struct(data)
         return utils.deserialize(message, data, _FACTORY)
     except Exception as error:
         raise exceptions.ProtocolError(f"message {type_number}: {error!r}")
