Refuse a peer's frame whose text is not UTF-8

What was seen: a hello whose secret is the byte ff ended the task of the connection with AttributeError, and so the process, before any authentication.

Cause: where text is not UTF-8, the decoder hands out bytes in its place.

Ruled out: fields of bytes, which keep any content (a trial with all 256 values).

Change: the decoder of frames is strict, so such a frame is malformed and ends its connection alone.

Tests: the case failed before; it passes.

--- a/src/geraniumridge/_internal/network/wire.py
+++ b/src/geraniumridge/_internal/network/wire.py
@@ -20,7 +20,7 @@
     module_name="geraniumridge_wire_thrift",
 )
 
-_FACTORY = cybin.TCyBinaryProtocolFactory()
+_FACTORY = cybin.TCyBinaryProtocolFactory(strict_decode=True)
 _MESSAGE_TYPES = tuple(messages.__thrift_meta__["structs"])
 _TYPE_NUMBERS = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
--- a/tests/unit/network/test_peers.py
+++ b/tests/unit/network/test_peers.py
@@ -26,6 +26,7 @@
     "skipped string": "0b0009 13000000",
     "skipped list": "0f0009 0c0fffffff",
     "skipped map": "0d0009 03030fffffff",
+    "secret that is no text": "0b0003 00000001 ff 00",
     "no fields": "00",
     "no data": "",
 }
