Read the headers of a response as Latin-1

What was seen: a response with a header byte above 7f, from the store or from another server, ended the call with UnicodeDecodeError, which no caller expects; it would leave the task that follows the store.

Cause: h11 lets such bytes pass, and the client took headers for UTF-8. The server reads requests' headers as Latin-1.

Ruled out: an answer that is empty, garbage, longer or shorter than its length, or without an end to its header: each counts as a lost connection.

Change: the client reads headers as Latin-1, too.

--- a/src/geraniumridge/_internal/network/http.py
+++ b/src/geraniumridge/_internal/network/http.py
@@ -355,7 +355,7 @@
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = tuple(
-                    (name.decode(), value.decode())
+                    (name.decode("latin-1"), value.decode("latin-1"))
                     for name, value in event.headers
                 )
             elif isinstance(event, h11.Data):
--- a/tests/unit/network/test_http.py
+++ b/tests/unit/network/test_http.py
@@ -6,6 +6,7 @@
 import trio
 from trio import testing
 
+from geraniumridge._internal import exceptions
 from geraniumridge._internal.network import http
 
 TIMEOUT_S = 10.0
@@ -111,3 +112,42 @@
         + b"0\r\n\r\n"
     )
     assert received.startswith(b"HTTP/1.1 413 ")
+
+
+def fetch_answer(data):
+    """Return the response that a client reads from a server's bytes."""
+
+    async def run():
+        client, server = testing.memory_stream_pair()
+        with trio.fail_after(TIMEOUT_S):
+            await server.send_all(data)
+            await server.send_eof()
+            return await http.ClientConnection(client, "vm").request(
+                "GET", "/"
+            )
+
+    return trio.run(run)
+
+
+def test_header_that_is_not_utf8_does_not_break_the_client():
+    response = fetch_answer(
+        b"HTTP/1.1 200 OK\r\nX-Name: \xff\r\nContent-Length: 2\r\n\r\nok"
+    )
+    assert (response.status, response.body) == (200, b"ok")
+    assert ("x-name", "\xff") in response.headers
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\x00 garbage\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        b"HTTP/1.1 200 OK\r\nX: " + b"y" * 200_000,
+    ],
+)
+def test_malformed_response_counts_as_a_lost_connection(data):
+    with pytest.raises(exceptions.ConnectionLostError):
+        fetch_answer(data)
