--- a/src/geraniumridge/_internal/network/http.py
+++ b/src/geraniumridge/_internal/network/http.py
@@ -101,6 +101,7 @@
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self._is_idle = True
+        self._is_head_request = False
         # Moving the deadline of one scope costs less than opening a scope
         # for each phase of a request.
         self._deadline_scope = trio.CancelScope()
@@ -131,6 +132,7 @@
 
     async def _serve_request(self):
         self._is_idle = True
+        self._is_head_request = False
         try:
             request = await self._read_request()
         except h11.RemoteProtocolError as error:
@@ -162,6 +164,9 @@
         head = await self._read_head()
         if head is None:
             return None
+        self._is_head_request = head.method == b"HEAD"
+        if head.method == b"CONNECT":
+            raise exceptions.MethodNotAllowedError("CONNECT: not a proxy")
         size = sum(len(name) + len(value) for name, value in head.headers)
         if size > self._limits.max_header_bytes:
             # h11 checks its limit only on incomplete heads, so a head that
@@ -173,13 +178,13 @@
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in head.headers
         }
-        parts = []
-        await self._read_body(parts)
+        body = bytearray()
+        await self._read_body(body)
         return Request(
             head.method.decode(),
             head.target.decode(),
             headers,
-            b"".join(parts),
+            bytes(body),
         )
 
     async def _read_head(self):
@@ -205,8 +210,8 @@
         self._conn.receive_data(data)
         return data
 
-    async def _read_body(self, parts):
-        while not self._parse_body(parts):
+    async def _read_body(self, body):
+        while not self._parse_body(body):
             if self._conn.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(
                     status_code=100, headers=[]
@@ -214,7 +219,7 @@
                 await self._stream.send_all(self._conn.send(continue_response))
             await self._receive()
 
-    def _parse_body(self, parts):
+    def _parse_body(self, body):
         """Append the received data; return whether the body is complete."""
         while True:
             event = self._conn.next_event()
@@ -222,8 +227,8 @@
                 return False
             if not isinstance(event, h11.Data):
                 return True
-            parts.append(bytes(event.data))
-            if sum(map(len, parts)) > self._limits.max_body_bytes:
+            body += event.data
+            if len(body) > self._limits.max_body_bytes:
                 raise exceptions.RequestTooLargeError(
                     f"body: larger than {self._limits.max_body_bytes} bytes"
                 )
@@ -238,7 +243,8 @@
             headers.append(("Connection", "close"))
         head = h11.Response(status_code=response.status, headers=headers)
         data = self._conn.send(head)
-        data += self._conn.send(h11.Data(data=response.body))
+        if not self._is_head_request:
+            data += self._conn.send(h11.Data(data=response.body))
         data += self._conn.send(h11.EndOfMessage())
         self._set_timeout(self._limits.send_timeout_s)
         await self._stream.send_all(data)
@@ -349,7 +355,7 @@
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = tuple(
-                    (name.decode(), value.decode())
+                    (name.decode("latin-1"), value.decode("latin-1"))
                     for name, value in event.headers
                 )
             elif isinstance(event, h11.Data):
--- a/src/geraniumridge/_internal/network/wire.py
+++ b/src/geraniumridge/_internal/network/wire.py
@@ -12,6 +12,7 @@
 from thriftpy2 import utils
 
 from geraniumridge._internal import exceptions
+from geraniumridge._internal.network import thrift_check
 from geraniumridge._internal.utils import codec
 
 messages = thriftpy2.load(
@@ -19,7 +20,7 @@
     module_name="geraniumridge_wire_thrift",
 )
 
-_FACTORY = cybin.TCyBinaryProtocolFactory()
+_FACTORY = cybin.TCyBinaryProtocolFactory(strict_decode=True)
 _MESSAGE_TYPES = tuple(messages.__thrift_meta__["structs"])
 _TYPE_NUMBERS = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
@@ -46,6 +47,7 @@
     """
     try:
         message = _MESSAGE_TYPES[type_number]()
+        thrift_check.check_struct(data)
         return utils.deserialize(message, data, _FACTORY)
     except Exception as error:
         raise exceptions.ProtocolError(f"message {type_number}: {error!r}")
--- a/tests/unit/network/test_datagrams.py
+++ b/tests/unit/network/test_datagrams.py
@@ -1,11 +1,16 @@
 """Encoding and decoding of datagrams between proxies."""
 
+import time
+import tracemalloc
+
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
+import trio
 
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.network import datagrams
+from lib import fleets
 
 ViewStatusQuery = datagrams.messages.ViewStatusQuery
 ConfirmationRequest = datagrams.messages.ConfirmationRequest
@@ -14,21 +19,42 @@
 ViewStatusAnswer = datagrams.messages.ViewStatusAnswer
 ConfirmationAnswer = datagrams.messages.ConfirmationAnswer
 
+MESSAGES = [
+    TokenRequest(number=1, team="team", wanted=3),
+    TokenGrant(number=1, is_owner=True, tokens=2, retry_ms=0, pledge=9),
+    ConfirmationRequest(number=1, revision=7),
+    ViewStatusQuery(number=1),
+    ViewStatusAnswer(number=1, changed=7, age_ms=120),
+    datagrams.messages.ChangeNotification(vm="vm-1"),
+    ConfirmationAnswer(number=1, vm="vm-1", groups=["ledger"], is_whole=True),
+]
 
-@pytest.mark.parametrize(
-    "message",
-    [
-        TokenRequest(number=1, team="team", wanted=3),
-        TokenGrant(number=1, is_owner=True, tokens=2, retry_ms=0, pledge=9),
-        ConfirmationRequest(number=1, revision=7),
-        ViewStatusQuery(number=1),
-        ViewStatusAnswer(number=1, changed=7, age_ms=120),
-        datagrams.messages.ChangeNotification(vm="vm-1"),
-        ConfirmationAnswer(
-            number=1, vm="vm-1", groups=["ledger"], is_whole=True
-        ),
-    ],
-)
+MAX_DECODE_BYTES = 65_536
+"""Memory that decoding a short datagram may allocate."""
+
+MAX_DECODE_S = 0.2
+"""Processor time that decoding a short datagram may take, in seconds."""
+
+QUERY_TIMEOUT_S = 0.05
+"""Timeout of a query, in seconds."""
+
+CLAIMED_LENGTHS = {
+    "skipped string": "00 0b0000 13000000",
+    "skipped binary": "00 120009 13000000",
+    "string without its length": "00 0b0000 13",
+    "known string": "00 0b0002 13000000",
+    "string in a list": "03 0f0003 0b00000001 13000000",
+    "list of strings": "03 0f0003 0b00ffffff",
+    "skipped list of structs": "00 0f0005 0c0fffffff",
+    "skipped list of an unknown type": "00 0f0005 010fffffff",
+    "skipped set of bytes": "00 0e0005 030fffffff",
+    "skipped map": "00 0d0000 00000003",
+    "skipped map of bytes": "00 0d0009 03030fffffff",
+    "negative length": "00 0b0000 ffffffff",
+}
+
+
+@pytest.mark.parametrize("message", MESSAGES)
 def test_messages_are_unchanged_by_encoding_and_decoding(message):
     assert datagrams.decode(datagrams.encode(message)) == message
 
@@ -41,7 +67,124 @@
         pass
 
 
+@pytest.mark.parametrize("text", CLAIMED_LENGTHS.values(), ids=CLAIMED_LENGTHS)
+def test_claimed_length_costs_no_memory_and_no_time(text):
+    data = bytes.fromhex(text)
+    started_at = time.process_time()
+    tracemalloc.start()
+    try:
+        with pytest.raises(exceptions.ProtocolError):
+            datagrams.decode(data)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < MAX_DECODE_BYTES
+    assert time.process_time() - started_at < MAX_DECODE_S
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_incomplete_datagram_is_rejected(message):
+    data = datagrams.encode(message)
+    for size in range(len(data)):
+        with pytest.raises(exceptions.ProtocolError):
+            datagrams.decode(data[:size])
+
+
+def test_unknown_field_that_exceeds_the_datagram_is_rejected():
+    data = datagrams.encode(ViewStatusQuery(number=1))
+    unknown_field = bytes.fromhex("0b0009 13000000")
+    with pytest.raises(exceptions.ProtocolError):
+        datagrams.decode(data[:-1] + unknown_field)
+
+
+def test_deeply_nested_field_is_rejected():
+    data = datagrams.encode(ViewStatusQuery(number=1))
+    nested = bytes.fromhex("0c0009") * 500 + bytes(500)
+    with pytest.raises(exceptions.ProtocolError):
+        datagrams.decode(data[:-1] + nested + bytes(1))
+
+
+def test_unknown_fields_of_all_types_are_skipped():
+    message = ViewStatusQuery(number=1)
+    data = datagrams.encode(message)
+    unknown_fields = bytes.fromhex(
+        "020009 01"
+        "03000a 01"
+        "06000b 0001"
+        "08000c 00000001"
+        "0a000d 0000000000000001"
+        "04000e 3ff0000000000000"
+        "0b000f 00000001 61"
+        "0c0010 020001 01 00"
+        "0d0011 0b08 00000001 00000001 61 00000001"
+        "0e0012 08 00000001 00000001"
+        "0f0013 0c 00000002 00 00"
+    )
+    assert datagrams.decode(data[:-1] + unknown_fields + bytes(1)) == message
+
+
 def test_message_with_a_missing_field_is_rejected():
     data = datagrams.encode(TokenRequest(number=1, team="team"))
     with pytest.raises(exceptions.ProtocolError):
         datagrams.decode(data)
+
+
+class LoopbackPeers(datagrams.Peers):
+    """Datagram endpoint that receives a given answer to each query.
+
+    Parameters
+    ----------
+    make_answer : callable
+        Returns the answer to a query.
+    """
+
+    def __init__(self, make_answer):
+        super().__init__("127.0.0.1:1")
+        self._make_answer = make_answer
+
+    async def send(self, message, address):
+        """Dispatch the answer in place of sending the query."""
+        await self.dispatch(self._make_answer(message), address)
+
+
+def run_query(query, make_answer):
+    """Return the answer that a query gets."""
+    member = fleets.make_member("vm-2")._replace(address="127.0.0.1:2")
+    peers = LoopbackPeers(make_answer)
+    return trio.run(peers.query, query, member, QUERY_TIMEOUT_S)
+
+
+def make_grant(query):
+    """Return a token grant with the number of a query."""
+    return TokenGrant(
+        number=query.number, is_owner=True, tokens=1, retry_ms=0, pledge=0
+    )
+
+
+def make_view_status(query):
+    """Return a view status with the number of a query."""
+    return ViewStatusAnswer(number=query.number, changed=7, age_ms=1)
+
+
+@pytest.mark.parametrize(
+    "query, make_answer",
+    [
+        (TokenRequest(team="team", wanted=3), make_grant),
+        (ViewStatusQuery(), make_view_status),
+    ],
+)
+def test_answer_of_the_type_of_the_query_is_returned(query, make_answer):
+    assert run_query(query, make_answer) == make_answer(query)
+
+
+@pytest.mark.parametrize(
+    "query, make_answer",
+    [
+        (TokenRequest(team="team", wanted=3), make_view_status),
+        (ViewStatusQuery(), make_grant),
+    ],
+)
+def test_answer_of_another_type_than_the_query_asks_for_is_ignored(
+    query, make_answer
+):
+    assert run_query(query, make_answer) is None
