Let voters confirm leadership records in large fleets

Callers saw: in a fleet of 87 or 69 VMs a primary behind a cut, or one that failed while the store turned some VMs away, stayed without a successor for 3.9 s more than the detection took; orders and bookings were refused.

Cause: above 64 members no VM asked the others to confirm its leadership records, as the requests grow with the square of the fleet, so a failover had to wait until the store views of all silent VMs expired.

Change: the confirmations come from voters, all members or the 31 with the highest hash, which VMs that know the same members choose alike. A VM needs more than half of the voters of the members that it knows; a failover waits 1.5 s once the silent VMs are at most half of the voters of every member set. The bound at 64 members is gone, and with it the difference in rules between VMs that know more and fewer members.

Ruled out: a larger bound for all members (87 VMs would send 30,000 requests a second in an outage).

The two tests of fleets without confirmations are replaced by tests of the voters, as that behaviour is gone.

--- a/src/geraniumridge/_internal/decisions/primary_resolver.py
+++ b/src/geraniumridge/_internal/decisions/primary_resolver.py
@@ -1,6 +1,5 @@
 """Which target is a group's primary, and whether it may be used."""
 
-from geraniumridge._internal.decisions import quorum
 from geraniumridge._internal.models import desired
 
 MAX_VIEW_AGE_S = 3.7
@@ -64,15 +63,9 @@
         return age_s <= MAX_UNCONFIRMED_AGE_S or self._is_confirmed(group, now)
 
     def _is_confirmed(self, group, now):
-        """Return whether a quorum confirms the group's leadership record.
-
-        In a fleet larger than `quorum.MAX_QUORUM_MEMBERS` no confirmation
-        is needed: failovers wait until all store views expire.
-        """
-        members = self._view.members
-        if len(members) > quorum.MAX_QUORUM_MEMBERS:
-            return True
-        return self._confirmations.has_majority(group, self._vm, members, now)
+        """Return whether a quorum confirms the group's leadership record."""
+        voters = self._view.roster.voters
+        return self._confirmations.has_majority(group, self._vm, voters, now)
 
     def find_primary(self, group):
         """Return the `desired.Target` that is a group's primary, or None."""
--- a/src/geraniumridge/_internal/decisions/roster.py
+++ b/src/geraniumridge/_internal/decisions/roster.py
@@ -3,6 +3,8 @@
 import math
 import typing
 
+from geraniumridge._internal.decisions import quorum
+
 
 class MemberChange(typing.NamedTuple):
     """A VM that joined or left, and the clock time when that was seen."""
@@ -20,6 +22,8 @@
         self._departures = {}
         self._log = []
         self._listed_at = math.inf
+        self._voters = frozenset()
+        self._voters_change_count = 0
 
     @property
     def members(self):
@@ -31,6 +35,17 @@
         """Number of changes so far."""
         return self._change_count
 
+    @property
+    def voters(self):
+        """Names of the members that confirm leadership records.
+
+        Kept until the members change, since it is read often.
+        """
+        if self._voters_change_count != self._change_count:
+            self._voters_change_count = self._change_count
+            self._voters = quorum.choose_voters(self._members)
+        return self._voters
+
     def list_others(self, vm):
         """Return all members except one VM."""
         return [item for item in self._members.values() if item.vm != vm]
--- a/src/geraniumridge/_internal/proxy/quorum_exchange.py
+++ b/src/geraniumridge/_internal/proxy/quorum_exchange.py
@@ -16,7 +16,7 @@
 for a second request after `REQUEST_INTERVAL_S`, and its answer."""
 
 REQUEST_AGE_S = primary_resolver.MAX_UNCONFIRMED_AGE_S - REQUEST_LEAD_S
-"""Age of the store view from which the other members are asked."""
+"""Age of the store view from which the other voters are asked."""
 
 MAX_GROUPS = 16
 """Maximum number of groups in an answer, so that it fits a datagram."""
@@ -45,23 +45,24 @@
         peers.handle(datagrams.messages.ConfirmationAnswer, self._note_answer)
 
     async def request_confirmations(self):
-        """Ask the other members if it is due; called periodically."""
+        """Ask the other voters if it is due; called periodically."""
         now = clock.now()
         age_s = self._node.view_age.get_age(now)
         if not REQUEST_AGE_S <= age_s <= primary_resolver.MAX_VIEW_AGE_S:
             return
         if now - self._requested_at < REQUEST_INTERVAL_S:
             return
-        if len(self._node.view.members) > quorum.MAX_QUORUM_MEMBERS:
-            return
         self._request_number = next(self._numbers)
         self._requested_at = now
         request = datagrams.messages.ConfirmationRequest(
             self._request_number, self._node.view.revision
         )
+        await self._peers.send_to_members(request, self._list_other_voters())
+
+    def _list_other_voters(self):
+        roster = self._node.view.roster
         own = self._node.settings.vm.name
-        others = self._node.view.roster.list_others(own)
-        await self._peers.send_to_members(request, others)
+        return [roster.members[vm] for vm in roster.voters if vm != own]
 
     async def _answer_request(self, request, sender):
         view = self._node.view
--- a/src/geraniumridge/_internal/utils/rendezvous.py
+++ b/src/geraniumridge/_internal/utils/rendezvous.py
@@ -25,13 +25,14 @@
     list of str
         The candidates; removing one keeps the order of the others.
     """
-    return sorted(nodes, key=_make_sort_key(key), reverse=True)
+    return sorted(nodes, key=make_sort_key(key), reverse=True)
 
 
 def choose_node(key, nodes):
     """Return the owner of a key, or None without candidates."""
-    return max(nodes, key=_make_sort_key(key), default=None)
+    return max(nodes, key=make_sort_key(key), default=None)
 
 
-def _make_sort_key(key):
+def make_sort_key(key):
+    """Return the function of a node that gives its weight for a key."""
     return lambda node: (_weight(node, key), node)
--- a/tests/unit/decisions/test_fencing.py
+++ b/tests/unit/decisions/test_fencing.py
@@ -63,6 +63,8 @@
 class World:
     """The store, the VMs and the VM that runs one failover."""
 
+    names = VMS
+
     def __init__(self):
         super().__init__()
         self.now = 100.0
@@ -75,12 +77,12 @@
         self.is_fence_established = False
         self.put("s/old", OLD)
         self.vms = {}
-        for name in VMS:
+        for name in self.names:
             self.start(name)
         self.sync(HOLDER)
         # Long enough for the holder to know the members and departures.
         self.now += 2 * succession.FENCE_TIMEOUT_S
-        for name in VMS:
+        for name in self.names:
             self.sync(name)
 
     def put(self, key, value):
@@ -287,6 +289,29 @@
         self.check()
 
 
+class VoterFencing(MinorityFencing):
+    """Only some of the members vote, as in a large fleet."""
+
+    names = [*VMS, "vm-3", "vm-4"]
+
+    def __init__(self):
+        self._max_voters = quorum.MAX_VOTERS
+        quorum.MAX_VOTERS = 3
+        super().__init__()
+
+    def teardown(self):
+        quorum.MAX_VOTERS = self._max_voters
+
+    @stateful.rule(name=st.sampled_from(["vm-3", "vm-4"]))
+    def sync_further_vm(self, name):
+        self.sync(name)
+        self.acknowledge(name)
+
+    @stateful.rule(member=st.sampled_from(["vm-3", "vm-4"]))
+    def send_confirmation_request_to_further_vm(self, member):
+        self.send_request(SILENT, member)
+
+
 SETTINGS = hypothesis.settings(
     max_examples=400,
     stateful_step_count=20,
@@ -295,5 +320,7 @@
 )
 Fencing.TestCase.settings = SETTINGS
 MinorityFencing.TestCase.settings = SETTINGS
+VoterFencing.TestCase.settings = SETTINGS
 TestFencing = Fencing.TestCase
 TestMinorityFencing = MinorityFencing.TestCase
+TestVoterFencing = VoterFencing.TestCase
--- a/tests/unit/decisions/test_primary_resolver.py
+++ b/tests/unit/decisions/test_primary_resolver.py
@@ -133,12 +133,17 @@
     assert not fixture.primary_resolver.may_use_primary("ledger", late)
 
 
-def test_fleet_too_large_for_confirmations_relies_on_age_alone():
-    count = quorum.MAX_QUORUM_MEMBERS + 1
-    fixture = ResolverFixture(
-        *make_members(*(f"vm-{index}" for index in range(count)))
-    )
-    now = primary_resolver.MAX_VIEW_AGE_S - 0.1
+def test_older_view_of_a_large_fleet_needs_a_majority_of_the_voters():
+    members = [f"vm-{number}" for number in range(2, 88)]
+    fixture = ResolverFixture(*make_members(*members))
+    now = primary_resolver.MAX_UNCONFIRMED_AGE_S + 0.1
+    voters = quorum.choose_voters(["vm-1", *members])
+    confirmation = quorum.Confirmation(now, frozenset())
+    for vm in set(members) - voters:
+        fixture.confirmations.add(vm, confirmation)
+    assert not fixture.primary_resolver.may_use_primary("ledger", now)
+    for vm in sorted(voters - {"vm-1"})[: quorum.MAX_VOTERS // 2 + 1]:
+        fixture.confirmations.add(vm, confirmation)
     assert fixture.primary_resolver.may_use_primary("ledger", now)
 
 
--- a/tests/unit/decisions/test_quorum.py
+++ b/tests/unit/decisions/test_quorum.py
@@ -25,7 +25,30 @@
     assert not quorum.lacks_majority({"vm-0", "vm-1"}, member_sets)
 
 
-def test_fleet_that_asks_for_no_confirmation_has_no_such_bound():
-    count = quorum.MAX_QUORUM_MEMBERS + 1
-    members = frozenset(f"vm-{number}" for number in range(count))
-    assert not quorum.lacks_majority({"vm-0"}, [members])
+def make_fleet(count):
+    return frozenset(f"vm-{number}" for number in range(count))
+
+
+def test_voters_of_a_large_fleet_are_a_fixed_number_of_its_members():
+    members = make_fleet(540)
+    voters = quorum.choose_voters(members)
+    assert len(voters) == quorum.MAX_VOTERS
+    assert voters < members
+
+
+def test_one_departure_changes_at_most_one_voter():
+    members = make_fleet(87)
+    voters = quorum.choose_voters(members)
+    for vm in members:
+        changed = voters - quorum.choose_voters(members - {vm})
+        assert changed <= {vm}
+
+
+def test_silent_half_of_the_voters_of_a_large_fleet_lacks_a_majority():
+    members = make_fleet(87)
+    voters = sorted(quorum.choose_voters(members))
+    minority = set(voters[: quorum.MAX_VOTERS // 2])
+    majority = set(voters[: quorum.MAX_VOTERS // 2 + 1])
+    others = members - set(voters)
+    assert quorum.lacks_majority(minority | others, [members])
+    assert not quorum.lacks_majority(majority, [members])
--- a/tests/unit/decisions/test_succession.py
+++ b/tests/unit/decisions/test_succession.py
@@ -115,6 +115,20 @@
     )
 
 
+def test_silent_third_of_a_large_fleet_is_awaited_for_less_time():
+    """A failure domain is cut off, or the store turns some VMs away."""
+    members = [f"vm-{number}" for number in range(87)]
+    store_view = make_view(members)
+    fence = make_fence()
+    for revision, vm in enumerate(members[29:], 51):
+        acknowledge(store_view, vm, 100.05, revision)
+    assert (
+        primary_resolver.MAX_UNCONFIRMED_AGE_S
+        < find_fencing_time(store_view, fence)
+        < primary_resolver.MAX_UNCONFIRMED_AGE_S + 0.4
+    )
+
+
 def test_confirmations_before_a_late_acknowledgement_have_to_expire():
     store_view = make_view(("vm-1", "vm-2", "vm-3"))
     fence = make_fence()
