--- a/src/geraniumridge/_internal/proxy/metrics_server.py
+++ b/src/geraniumridge/_internal/proxy/metrics_server.py
@@ -45,6 +45,7 @@
             "members": len(node.view.members),
             "targets": len(node.view.targets),
             "target_connections": node.pools.size,
+            "idle_target_connections": node.pools.idle_count,
         }
         if node.view.state is not None:
             gauges["desired_version"] = node.view.state.version
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -83,6 +83,11 @@
         """Number of connections that are open or being opened."""
         return len(self._idle) + len(self._busy) + self._opening
 
+    @property
+    def idle_count(self):
+        """Number of open connections that no statement uses."""
+        return len(self._idle)
+
     def has_idle_connection(self, team):
         """Return whether an idle connection of a team is available."""
         return any(connection.team == team for connection in self._idle)
@@ -187,6 +192,7 @@
         except exceptions.TargetRefusedError as error:
             self.load.note_answer(clock.now())
             if error.outcome is statements.Outcome.TOO_MANY_CONNECTIONS:
+                self._log_connection_limit(target)
                 await trio.sleep(CONNECTION_LIMIT_PAUSE_S)
             raise exceptions.NotSentError(str(error))
         except exceptions.NetworkError:
@@ -205,6 +211,17 @@
         self._busy.add(connection)
         return connection
 
+    def _log_connection_limit(self, target):
+        logger.info(
+            "target refused a connection at its limit",
+            extra={
+                "event": "connection_limit",
+                "target": target.id,
+                "idle": len(self._idle),
+                "busy": len(self._busy),
+            },
+        )
+
     def _notify_waiters(self):
         self._capacity_freed.set()
         self._capacity_freed = trio.Event()
@@ -228,6 +245,11 @@
         """Number of connections to all targets."""
         return sum(pool.size for pool in self._pools.values())
 
+    @property
+    def idle_count(self):
+        """Number of connections to all targets that no statement uses."""
+        return sum(pool.idle_count for pool in self._pools.values())
+
     def get(self, target_id):
         """Return the pool of a target; create it on first use."""
         pool = self._pools.get(target_id)
