Divide the connections kept open where VMs outnumber them

Cause: each VM kept at least one connection to each target open after use. 87 VMs so kept 87 of the 79 that a target allows, and since a connection belongs to a team, few of them were of use to the next statement. VMs that came late got none, and an order, which has the primary alone, was refused after one attempt.

Evidence: targets reset 29,578 connections over their limit. The refusals end at 7 s and begin again at 12 s, which is when the third of the VMs that the store turns away has closed its idle connections and has not yet opened new ones. Ruled out: a group without a primary (the dark one of 12.8 s is replaced by 14.70 s, the only failover before the zone is cut), a successor that is not proved (none in the log).

Change: all VMs together keep half of a target's limit open, each a whole part of it and some of them none; which ones differs from target to target, so that no message is needed. Pools close what is beyond their part when VMs join. The other half is for statements in progress and for connections of failed VMs, which a target counts for some seconds.

Tests: test_idle_connections_of_other_vms_leave_room_for_a_statement and test_connections_beyond_the_share_are_closed_when_vms_join failed on the code before.

Unit tests: 273 passed, 1 skipped; tests/functional/test_proxy_path.py: 24 passed. The other functional tests were not run on it.

--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -200,7 +200,9 @@
         if revision == self._applied_revision:
             return
         self._applied_revision = revision
-        self._node.pools.set_limits(self._node.view)
+        self._node.pools.set_limits(
+            self._node.view, self._node.settings.vm.name
+        )
         self._primary_revoker.stop_using_replaced(self._nursery)
         self._view_changed.set()
         self._view_changed = trio.Event()
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions import connection_share
 from geraniumridge._internal.decisions import load
 from geraniumridge._internal.decisions import rates
 from geraniumridge._internal import exceptions
@@ -20,14 +21,6 @@
 """Timeout of opening a connection. A lost TCP SYN is sent again only
 after a second, so a new attempt is faster."""
 
-KEEP_OPEN_SHARE = 0.85
-"""Share of a target's connection limit that all VMs together keep open
-after use. Connections beyond it are closed when they are released."""
-
-EXTRA_CONNECTIONS = 1
-"""Connections that a VM may open beyond its equal share of a target's
-limit; the target refuses what exceeds the limit in total."""
-
 IDLE_TIMEOUT_S = 20.0
 """Time after which an idle connection is closed."""
 
@@ -73,8 +66,7 @@
         self._busy = set()
         self._opening = 0
         self._capacity_freed = trio.Event()
-        self._max_kept_open = 1
-        self._max_open = 1
+        self._limits = connection_share.PoolLimits(1, 1)
         self.load = load.TargetLoad()
         self.warmup = rates.Bucket(clock.now())
 
@@ -92,19 +84,17 @@
         """Return whether an idle connection of a team is available."""
         return any(connection.team == team for connection in self._idle)
 
-    def set_limits(self, max_connections, members):
-        """Set the VM's share of a target's connection limit.
+    def set_limits(self, limits):
+        """Set the pool's limits; close idle connections beyond them.
 
         Parameters
         ----------
-        max_connections : int
-            The target's limit for all VMs together.
-        members : int
-            Number of VMs that share it.
+        limits : connection_share.PoolLimits
+            The VM's share of the target's connection limit.
         """
-        share = max_connections / max(1, members)
-        self._max_kept_open = max(1, round(KEEP_OPEN_SHARE * share))
-        self._max_open = max(1, int(share)) + EXTRA_CONNECTIONS
+        self._limits = limits
+        while self._has_too_many_open() and self._close_oldest_idle():
+            pass
 
     async def acquire(self, target, team):
         """Return a connection of a team; wait until one is available.
@@ -120,7 +110,7 @@
             found = self._take_idle_connection(target, team)
             if found is not None:
                 return found
-            if self.size < self._max_open or self._close_oldest_idle():
+            if self.size < self._limits.max_open or self._close_oldest_idle():
                 return await self._open_connection(target, team)
             await self._capacity_freed.wait()
 
@@ -132,7 +122,7 @@
         else:
             connection.idle_since = clock.now()
             self._idle.append(connection)
-            if len(self._idle) + len(self._busy) > self._max_kept_open:
+            if self._has_too_many_open():
                 self._close_oldest_idle()
         self._notify_waiters()
 
@@ -176,6 +166,10 @@
                 return connection
         return None
 
+    def _has_too_many_open(self):
+        open_count = len(self._idle) + len(self._busy)
+        return open_count > self._limits.max_kept_open
+
     def _close_oldest_idle(self):
         if not self._idle:
             return False
@@ -258,15 +252,18 @@
             self._pools[target_id] = pool
         return pool
 
-    def set_limits(self, view):
-        """Set the VM's share of each target's connection limit."""
-        members = len(view.members)
+    def set_limits(self, view, vm):
+        """Set a VM's share of each target's connection limit."""
+        member_index = connection_share.find_index(vm, view.members)
         group_settings = view.state.groups if view.state else {}
         for target in view.targets.values():
             settings = group_settings.get(target.group)
-            if settings is not None:
-                pool = self.get(target.id)
-                pool.set_limits(settings.max_connections, members)
+            if settings is None:
+                continue
+            limits = connection_share.compute_limits(
+                settings.max_connections, target.id, member_index
+            )
+            self.get(target.id).set_limits(limits)
 
     def close_unused(self, view, now):
         """Close idle connections that are old or lead to removed targets."""
--- a/tests/functional/test_proxy_path.py
+++ b/tests/functional/test_proxy_path.py
@@ -255,6 +255,50 @@
     assert is_success(await caller.query("WRITE a 1"))
 
 
+def test_idle_connections_of_other_vms_leave_room_for_a_statement():
+    """A target allows fewer connections than there are VMs.
+
+    The connections that some VMs keep open between statements used to
+    fill it up, and the statements of the others were refused.
+    """
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            services = [{"name": "ledger", "maxConns": 3, "syncReplicas": 1}]
+            config = proxies.make_config(2, services=services)
+            cluster.store.put("op/config", config)
+            for item in cluster.group.instances.values():
+                item.max_connections = 3
+            members = [await cluster.add_proxy(f"vm-{n}") for n in range(5)]
+            callers = [await cluster.connect(proxy) for proxy in members]
+            for _ in range(2):
+                for caller in callers:
+                    assert is_success(await caller.query("WRITE a 1"))
+
+    trio.run(main)
+
+
+def test_connections_beyond_the_share_are_closed_when_vms_join():
+    """The VM that was alone keeps no more open than its new share."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            first = await cluster.add_proxy("vm-0")
+            callers = [await cluster.connect(first) for _ in range(6)]
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(caller.query, "WRITE a 1")
+            primary = cluster.group.instances["i-0"]
+            assert primary.connections == len(callers)
+            for number in range(1, 6):
+                await cluster.add_proxy(f"vm-{number}")
+            await proxies.wait_until(
+                lambda: primary.connections <= primary.max_connections / 6
+            )
+
+    trio.run(main)
+
+
 @run_in_cluster
 async def test_statements_of_the_proxy_itself_do_not_change_the_rows(
     cluster, proxy
