--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions import connection_share
 from geraniumridge._internal.decisions import load
 from geraniumridge._internal.decisions import rates
 from geraniumridge._internal import exceptions
@@ -20,14 +21,6 @@
 """Timeout of opening a connection. A lost TCP SYN is sent again only
 after a second, so a new attempt is faster."""
 
-KEEP_OPEN_SHARE = 0.85
-"""Share of a target's connection limit that all VMs together keep open
-after use. Connections beyond it are closed when they are released."""
-
-EXTRA_CONNECTIONS = 1
-"""Connections that a VM may open beyond its equal share of a target's
-limit; the target refuses what exceeds the limit in total."""
-
 IDLE_TIMEOUT_S = 20.0
 """Time after which an idle connection is closed."""
 
@@ -73,8 +66,7 @@
         self._busy = set()
         self._opening = 0
         self._capacity_freed = trio.Event()
-        self._max_kept_open = 1
-        self._max_open = 1
+        self._limits = connection_share.PoolLimits(1, 1)
         self.load = load.TargetLoad()
         self.warmup = rates.Bucket(clock.now())
 
@@ -83,23 +75,26 @@
         """Number of connections that are open or being opened."""
         return len(self._idle) + len(self._busy) + self._opening
 
+    @property
+    def idle_count(self):
+        """Number of open connections that no statement uses."""
+        return len(self._idle)
+
     def has_idle_connection(self, team):
         """Return whether an idle connection of a team is available."""
         return any(connection.team == team for connection in self._idle)
 
-    def set_limits(self, max_connections, members):
-        """Set the VM's share of a target's connection limit.
+    def set_limits(self, limits):
+        """Set the pool's limits; close idle connections beyond them.
 
         Parameters
         ----------
-        max_connections : int
-            The target's limit for all VMs together.
-        members : int
-            Number of VMs that share it.
+        limits : connection_share.PoolLimits
+            The VM's share of the target's connection limit.
         """
-        share = max_connections / max(1, members)
-        self._max_kept_open = max(1, round(KEEP_OPEN_SHARE * share))
-        self._max_open = max(1, int(share)) + EXTRA_CONNECTIONS
+        self._limits = limits
+        while self._has_too_many_open() and self._close_oldest_idle():
+            pass
 
     async def acquire(self, target, team):
         """Return a connection of a team; wait until one is available.
@@ -115,7 +110,7 @@
             found = self._take_idle_connection(target, team)
             if found is not None:
                 return found
-            if self.size < self._max_open or self._close_oldest_idle():
+            if self.size < self._limits.max_open or self._close_oldest_idle():
                 return await self._open_connection(target, team)
             await self._capacity_freed.wait()
 
@@ -127,7 +122,7 @@
         else:
             connection.idle_since = clock.now()
             self._idle.append(connection)
-            if len(self._idle) + len(self._busy) > self._max_kept_open:
+            if self._has_too_many_open():
                 self._close_oldest_idle()
         self._notify_waiters()
 
@@ -171,6 +166,10 @@
                 return connection
         return None
 
+    def _has_too_many_open(self):
+        open_count = len(self._idle) + len(self._busy)
+        return open_count > self._limits.max_kept_open
+
     def _close_oldest_idle(self):
         if not self._idle:
             return False
@@ -187,6 +186,7 @@
         except exceptions.TargetRefusedError as error:
             self.load.note_answer(clock.now())
             if error.outcome is statements.Outcome.TOO_MANY_CONNECTIONS:
+                self._log_connection_limit(target)
                 await trio.sleep(CONNECTION_LIMIT_PAUSE_S)
             raise exceptions.NotSentError(str(error))
         except exceptions.NetworkError:
@@ -205,6 +205,17 @@
         self._busy.add(connection)
         return connection
 
+    def _log_connection_limit(self, target):
+        logger.info(
+            "target refused a connection at its limit",
+            extra={
+                "event": "connection_limit",
+                "target": target.id,
+                "idle": len(self._idle),
+                "busy": len(self._busy),
+            },
+        )
+
     def _notify_waiters(self):
         self._capacity_freed.set()
         self._capacity_freed = trio.Event()
@@ -228,6 +239,11 @@
         """Number of connections to all targets."""
         return sum(pool.size for pool in self._pools.values())
 
+    @property
+    def idle_count(self):
+        """Number of connections to all targets that no statement uses."""
+        return sum(pool.idle_count for pool in self._pools.values())
+
     def get(self, target_id):
         """Return the pool of a target; create it on first use."""
         pool = self._pools.get(target_id)
@@ -236,15 +252,18 @@
             self._pools[target_id] = pool
         return pool
 
-    def set_limits(self, view):
-        """Set the VM's share of each target's connection limit."""
-        members = len(view.members)
+    def set_limits(self, view, vm):
+        """Set a VM's share of each target's connection limit."""
+        member_index = connection_share.find_index(vm, view.members)
         group_settings = view.state.groups if view.state else {}
         for target in view.targets.values():
             settings = group_settings.get(target.group)
-            if settings is not None:
-                pool = self.get(target.id)
-                pool.set_limits(settings.max_connections, members)
+            if settings is None:
+                continue
+            limits = connection_share.compute_limits(
+                settings.max_connections, target.id, member_index
+            )
+            self.get(target.id).set_limits(limits)
 
     def close_unused(self, view, now):
         """Close idle connections that are old or lead to removed targets."""
