Ignore late answers of the store that the view has got past

A deleted entry could come back into one VM's view for good: a target that is gone, which blocks every failover of its group (it never answers) and takes attempts of statements; an evacuation that was taken back; a member that makes other shares of limits and of majorities.

Cause: a domain's reader reads and watches the store at once. A watch answer that arrives after a read has gone past it holds the creation of a key whose deletion the view has applied already. The view compared revisions key by key, and it keeps none of deleted keys.

Ruled out: keeping revisions of deleted keys, which grow for ever; the view's own revision says as much, as it covers every change up to it.

Change: changes up to the view's revision are ignored. test_late_answer_does_not_bring_a_deleted_key_back failed before with the target in the view and passes now; tests of the view, the fence and the follower pass (50).

--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -200,8 +200,15 @@
         return True
 
     def apply(self, now, changes):
-        """Apply the changes that follow the view's revision."""
-        for item in sorted(changes.items, key=lambda item: item.revision):
+        """Apply the changes that follow the view's revision.
+
+        Earlier ones, of an answer that another one has overtaken, are
+        ignored: the view no longer knows the keys deleted since.
+        """
+        newer = [
+            item for item in changes.items if item.revision > self._revision
+        ]
+        for item in sorted(newer, key=lambda item: item.revision):
             self._apply_item(now, item)
             self._last_change_revision = max(
                 self._last_change_revision, item.revision
--- a/tests/unit/decisions/test_view.py
+++ b/tests/unit/decisions/test_view.py
@@ -45,6 +45,20 @@
     assert store_view.revision == 11
 
 
+def test_late_answer_does_not_bring_a_deleted_key_back():
+    """A watch may be answered after a read has got past its changes."""
+    store_view = make_view()
+    store_view.replace(0.0, make_listing(5))
+    target = fleets.make_target("a")
+    created = Item("s/a", target, 6)
+    deleted = Item("s/a", None, 7)
+    store_view.apply(1.0, make_changes(7, created, deleted))
+    store_view.apply(1.1, make_changes(6, created))
+    assert not store_view.targets
+    assert store_view.get_revision("s/a") == 0
+    assert store_view.revision == 7
+
+
 def test_listing_removes_missing_targets():
     store_view = make_view()
     target = fleets.make_target("a")
