Wait for a departed replica that may hold the only copy of a commit

The deaf replica was promoted, and a commit acknowledged to the caller was gone.

Cause: all replicas have to answer before the highest log counts as complete, but one without a store entry was left out if it was silent. An entry goes 3.6 s after the last heartbeat, and an instance that crashed comes back with its log some seconds later.

Ruled out: leaving it out after a shorter wait (an entry may have gone long before the failover starts); waiting for it always (one that left for good would keep a group without a primary).

Change: a departed silent replica counts like a registered one for 30 s after its removal, as long as it has been queried so far, unless the primary answered a statement that was sent after the removal and the successor has that position. Positions are kept past the end of the use of a primary for this.

test_departed_replica_with_the_only_copy_is_waited_for failed before with promotion_calls == [('ledger', 'i-1', 107)] and passes now; so does test_replica_that_left_before_the_last_commits_is_not_waited_for, which guards the other side. Unit tests pass.

--- a/src/geraniumridge/_internal/decisions/position_history.py
+++ b/src/geraniumridge/_internal/decisions/position_history.py
@@ -32,6 +32,7 @@
 
     def __init__(self):
         self._positions = []
+        self._former_positions = []
         self._term = 0
 
     @property
@@ -58,7 +59,7 @@
         if log_position.term < self._term:
             return
         if log_position.term > self._term:
-            self._positions.clear()
+            self.clear()
             self._term = log_position.term
         if self._positions and sent_at < self._positions[-1].sent_at:
             return
@@ -74,8 +75,11 @@
         """Remove all positions, as the VM stops using the primary.
 
         The term stays: positions of an earlier one are still ignored.
+        `find_known_covering` still finds the positions removed last.
         """
-        self._positions.clear()
+        if self._positions:
+            self._former_positions = self._positions
+            self._positions = []
 
     def find_covering(self, since):
         """Return the least position known to cover a point in time.
@@ -91,12 +95,17 @@
         records.LogPosition or None
             None if no position was requested at that time or later.
         """
-        index = bisect.bisect_left(
-            self._positions, since, key=lambda item: item.sent_at
-        )
-        if index == len(self._positions):
-            return None
-        return self._positions[index].log_position
+        return _find_covering(self._positions, since)
+
+    def find_known_covering(self, since):
+        """Return the least position known to cover a point in time.
+
+        Unlike `find_covering`, it also considers the positions from before
+        the VM last stopped using the primary. They tell nothing of the
+        present log, but still cover the commits up to then.
+        """
+        former = _find_covering(self._former_positions, since)
+        return former or _find_covering(self._positions, since)
 
     def _is_redundant(self, sent_at):
         """Return whether a new position may replace the newest one."""
@@ -107,3 +116,11 @@
     def _drop_before(self, limit):
         while self._positions and self._positions[0].sent_at < limit:
             del self._positions[0]
+
+
+def _find_covering(positions, since):
+    """Return the first log position requested at a time or later."""
+    index = bisect.bisect_left(positions, since, key=lambda item: item.sent_at)
+    if index == len(positions):
+        return None
+    return positions[index].log_position
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -5,6 +5,7 @@
 from geraniumridge._internal.decisions import primary_resolver
 from geraniumridge._internal.decisions import quorum
 from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import records
 
 TAKEOVER_AFTER_S = 6.0
 """Time since the last write of the leadership record after which another VM
@@ -25,12 +26,15 @@
     """A target of the group and its status, None if it did not answer.
 
     `may_be_promoted` is false of a target that is draining, evacuated or
-    no longer registered; its status still counts.
+    no longer registered; its status still counts. `max_position` is a log
+    position that covers every commit that the target received before its
+    entry was removed, None while it is registered or if none is known.
     """
 
     target: desired.Target
     status: desired.TargetStatus | None
     may_be_promoted: bool
+    max_position: records.LogPosition | None = None
 
 
 class Fence:
@@ -187,13 +191,20 @@
     promotable = [item for item in known if item.may_be_promoted]
     if not promotable:
         return None
-    max_position = max(item.status.received for item in known)
     best = max(promotable, key=lambda item: item.status.received)
     if min_position is not None and best.status.received >= min_position:
         return best
     # The newest acknowledged commit may be at a single replica, so the
-    # highest position covers it only if every replica has answered.
-    is_complete = len(known) == len(replicas)
-    if is_complete and best.status.received >= max_position:
-        return best
-    return None
+    # successor has to hold what each of them may have received.
+    for item in replicas:
+        max_position = _find_max_position(item)
+        if max_position is None or best.status.received < max_position:
+            return None
+    return best
+
+
+def _find_max_position(replica):
+    """Return a position that covers what a replica received, or None."""
+    if replica.status is not None:
+        return replica.status.received
+    return replica.max_position
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -142,6 +142,16 @@
             return None
         return item.target
 
+    def get_removal_time(self, target_id):
+        """Return the clock time at which a target was removed, or None.
+
+        None while the target is registered, and once it is forgotten.
+        """
+        item = self._removed_targets.get(target_id)
+        if item is None or target_id in self._targets:
+            return None
+        return item.seen_at
+
     def list_recently_removed(self, group, now, within_s):
         """Return a group's targets that were removed recently."""
         return [
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -29,8 +29,9 @@
 """Pause before the next attempt at a step that did not complete."""
 
 DEREGISTERED_QUERY_S = 30.0
-"""How long a target that is no longer registered is still queried; it may
-only have lost its connection to the store."""
+"""How long a target that is no longer registered is still queried, and
+waited for unless its commits are known to be elsewhere. It may only have
+lost its connection to the store, or start again with its log."""
 
 RESUME_ATTEMPTS = 10
 """Attempts to make replicas resume replication and a former primary step
@@ -165,16 +166,17 @@
         return await self._promote(term, min_position)
 
     async def _promote(self, term, min_position):
-        registered = self._node.view.targets
         paused_statuses = await control.ask_all(
             self._list_others(), lambda item: item.pause(term + 1)
         )
         replicas = [
             succession.Replica(
-                item.target, paused_statuses[item.target.id], may_be_promoted
+                item.target,
+                paused_statuses[item.target.id],
+                may_be_promoted,
+                self._find_max_position(item.target.id),
             )
             for item, may_be_promoted in self._list_candidates()
-            if paused_statuses[item.target.id] or item.target.id in registered
         ]
         chosen = succession.choose_successor(replicas, min_position)
         self._log(
@@ -197,6 +199,19 @@
             return False
         return await self._complete(chosen.target.id, new_term)
 
+    def _find_max_position(self, target_id):
+        """Return a position that covers a departed target's commits.
+
+        A commit that the primary acknowledged before the removal of the
+        target's entry was seen is covered by its answer to a statement
+        sent after that.
+        """
+        removed_at = self._node.view.get_removal_time(target_id)
+        if removed_at is None:
+            return None
+        positions = self._node.get_log_positions(self._group)
+        return positions.find_known_covering(removed_at)
+
     async def _request_promotion(self, target_id):
         """Order a promotion; return whether it may have been carried out.
 
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -104,6 +104,49 @@
     await write_until_acknowledged(caller, "after")
 
 
+@run_in_cluster
+async def test_departed_replica_with_the_only_copy_is_waited_for(
+    cluster, proxy
+):
+    """A replica whose entry expired with it comes back with its log."""
+    caller = await cluster.connect(proxy)
+    cluster.group.instances["i-1"].ignores_replication = True
+    assert is_success(await caller.query("WRITE a 1"))
+    await wait_startup_delay(cluster)
+    departed = cluster.group.instances["i-2"]
+    departed.crash()
+    cluster.store.delete("servers/i-2")
+    cluster.group.instances["i-0"].crash()
+    with trio.move_on_after(succession.FENCE_TIMEOUT_S + 2):
+        await write_until_acknowledged(caller, "after")
+    assert not cluster.promotion_server.promotion_calls
+    cluster.group.instances["i-1"].ignores_replication = False
+    await departed.start(cluster.nursery)
+    cluster.register(departed)
+    caller = await cluster.connect(proxy)
+    await write_until_acknowledged(caller, "after")
+    assert (await caller.query("READ a"))[0] == "ROW 1"
+
+
+@run_in_cluster
+async def test_replica_that_left_before_the_last_commits_is_not_waited_for(
+    cluster, proxy
+):
+    """The primary's answers since then show that the other one has all."""
+    caller = await cluster.connect(proxy)
+    assert is_success(await caller.query("WRITE a 1"))
+    await wait_startup_delay(cluster)
+    cluster.group.instances["i-2"].crash()
+    cluster.store.delete("servers/i-2")
+    await proxies.wait_until(lambda: "i-2" not in proxy.node.view.targets)
+    assert is_success(await caller.query("WRITE b 2"))
+    cluster.group.instances["i-0"].crash()
+    # A failed primary is detected by statements that it does not answer.
+    cluster.nursery.start_soon(write_until_acknowledged, caller, "after")
+    await wait_failover_completed(cluster, MAX_FAILOVER_S)
+    assert cluster.store.get(LEAD_KEY)["target"] == "i-1"
+
+
 @run_in_cluster
 async def test_draining_primary_serves_until_it_is_replaced(cluster, proxy):
     caller = await cluster.connect(proxy)
--- a/tests/unit/decisions/test_succession.py
+++ b/tests/unit/decisions/test_succession.py
@@ -149,12 +149,15 @@
     )
 
 
-def make_replica(name, position, may_be_promoted=True):
+def make_replica(name, position, may_be_promoted=True, max_position=None):
     status = position and desired.TargetStatus(
         desired.Role.REPLICA, 1, LogPosition(1, position), 2, 0.0, 0, 1
     )
     return succession.Replica(
-        fleets.make_target(name), status or None, may_be_promoted
+        fleets.make_target(name),
+        status or None,
+        may_be_promoted,
+        max_position and LogPosition(1, max_position),
     )
 
 
@@ -176,6 +179,25 @@
     assert succession.choose_successor(replicas, LogPosition(1, 6)) is None
 
 
+@pytest.mark.parametrize(
+    ("max_position", "chosen_id"), [(5, "a"), (6, None), (None, None)]
+)
+def test_departed_replica_counts_unless_its_commits_are_covered(
+    max_position, chosen_id
+):
+    departed = make_replica("b", None, False, max_position)
+    chosen = succession.choose_successor(
+        [make_replica("a", 5), departed], None
+    )
+    assert (chosen and chosen.target.id) == chosen_id
+
+
+def test_departed_replica_that_answers_counts_with_its_position():
+    departed = make_replica("b", 7, False, 5)
+    replicas = [make_replica("a", 5), departed]
+    assert succession.choose_successor(replicas, None) is None
+
+
 def test_no_replica_is_chosen_while_an_ineligible_one_is_ahead():
     replicas = [make_replica("a", 5), make_replica("b", 7, False)]
     assert succession.choose_successor(replicas, None) is None
