Let running statements end before a graceful stop does

Cause: the drain waited for transactions only. A statement outside one, or a COMMIT, counts as idle, and 1.5 s of 6 s later the process ended under it, while statements may take up to their route's 2 s. Transactions were failed one by one, each with up to 0.5 s.

Ruled out: the end of idle sessions (a session that has read a statement is not cancelled; trio delivers no cancellation after a read that succeeded).

Change: a session knows whether it runs a statement. A stop waits for running statements up to seven eighths of the grace period, and ends as soon as none runs; transactions are failed side by side.

test_graceful_stop_answers_a_statement_that_a_target_still_runs (read and write) and test_graceful_stop_ends_in_time_despite_many_silent_transactions failed before and pass now, with all of test_proxy_process.py (13).

--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -37,6 +37,14 @@
 TRANSACTION_GRACE_SHARE = 0.5
 """Fraction of the grace period in which open transactions may end."""
 
+FAILED_SESSION_GRACE_SHARE = 0.75
+"""Fraction of the grace period in which callers may end the transactions
+that have failed."""
+
+STATEMENT_GRACE_SHARE = 0.875
+"""Fraction of the grace period in which running statements may end. The
+rest is for ending the lease."""
+
 
 class Proxy:
     """The statement path of one VM.
@@ -154,18 +162,35 @@
 
     async def _drain(self):
         grace_s = self._node.settings.bounds.stop_grace_s
-        with trio.move_on_after(grace_s * TRANSACTION_GRACE_SHARE):
-            while not all(item.is_idle for item in self._sessions):
-                await trio.sleep(CHECK_INTERVAL_S)
-        for item in list(self._sessions):
-            await item.fail_transaction()
-        with trio.move_on_after(grace_s * (1 - TRANSACTION_GRACE_SHARE) / 2):
-            while self._sessions:
-                await trio.sleep(CHECK_INTERVAL_S)
+        began_at = trio.current_time()
+        with trio.move_on_at(began_at + grace_s * TRANSACTION_GRACE_SHARE):
+            await self._wait_while_any(lambda item: True)
+        await self._fail_transactions()
+        with trio.move_on_at(began_at + grace_s * FAILED_SESSION_GRACE_SHARE):
+            await self._wait_while_any(lambda item: True)
+        with trio.move_on_at(began_at + grace_s * STATEMENT_GRACE_SHARE):
+            # Sessions outside a transaction end once they have answered.
+            await self._wait_while_any(
+                lambda item: item.is_running or item.is_idle
+            )
         with trio.move_on_after(CHECK_INTERVAL_S * 5):
             await self._membership.leave()
         self._node.pools.close_idle()
 
+    async def _wait_while_any(self, is_awaited):
+        """Wait while the condition holds for any session."""
+        while any(is_awaited(item) for item in self._sessions):
+            await trio.sleep(CHECK_INTERVAL_S)
+
+    async def _fail_transactions(self):
+        """Fail all open transactions at once.
+
+        A rollback takes long at a target that does not answer.
+        """
+        async with trio.open_nursery() as nursery:
+            for item in self._sessions:
+                nursery.start_soon(item.fail_transaction)
+
     async def _run_checks(self):
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -50,6 +50,7 @@
         self._autocommit = autocommit.AutocommitRunner(node)
         self._transaction = None
         self._has_failed = False
+        self._is_running = False
         self._commit_positions = {}
         self.values = {}
         self.prepared = {}
@@ -66,6 +67,11 @@
         """Whether no transaction is open."""
         return self.state is State.IDLE
 
+    @property
+    def is_running(self):
+        """Whether a statement is being run."""
+        return self._is_running
+
     @property
     def idle_limit_s(self):
         """Idle timeout of the open transaction in seconds, or None."""
@@ -94,17 +100,21 @@
     async def execute(self, statement):
         """Run one statement and return its `statements.Answer`."""
         began_at = clock.now()
+        self._is_running = True
+        try:
+            answer = await self._run_handler(statement)
+        finally:
+            self._is_running = False
+        self._report(statement, answer, clock.now() - began_at)
+        return answer._replace(state=self.state)
+
+    async def _run_handler(self, statement):
         ending_verbs = (Verb.ROLLBACK, Verb.COMMIT)
         if self._has_failed and statement.verb not in ending_verbs:
-            answer = make_refusal(
+            return make_refusal(
                 Outcome.MALFORMED, "the transaction has failed"
             )
-        else:
-            answer = await HANDLERS_BY_VERB.get(statement.verb)(
-                self, statement
-            )
-        self._report(statement, answer, clock.now() - began_at)
-        return answer._replace(state=self.state)
+        return await HANDLERS_BY_VERB.get(statement.verb)(self, statement)
 
     def _report(self, statement, answer, took_s):
         """Record the outcome of a statement in the metrics and the log.
--- a/tests/functional/test_proxy_process.py
+++ b/tests/functional/test_proxy_process.py
@@ -114,6 +114,12 @@
     trio.run(main)
 
 
+async def change_config(cluster, **fields):
+    """Change fields of the configuration and wait until it is known."""
+    cluster.store.put("op/config", proxies.make_config(2, **fields))
+    await trio.sleep(1.0)
+
+
 async def wait_exit(process, timeout_s):
     """Wait until a proxy process has ended; return its exit status."""
     with trio.fail_after(timeout_s):
@@ -154,6 +160,49 @@
     run_process(test, tmp_path)
 
 
+@pytest.mark.parametrize("text", ["READ a", "WRITE a 1"])
+def test_graceful_stop_answers_a_statement_that_a_target_still_runs(
+    tmp_path, text
+):
+    async def test(cluster, process):
+        routes = [
+            {**route, "timeoutMs": 3000}
+            for route in proxies.make_config()["routes"]
+        ]
+        await change_config(cluster, routes=routes)
+        for item in cluster.group.instances.values():
+            item.statement_time_s = 2.0
+        caller = await process.connect()
+
+        async def stop():
+            await trio.sleep(0.3)
+            process.process.send_signal(signal.SIGTERM)
+
+        cluster.nursery.start_soon(stop)
+        lines = await caller.query_all(text)
+        assert lines[-1] is not None
+        assert is_success(lines[:-1])
+        assert await wait_exit(process, 1) == 0
+
+    run_process(test, tmp_path)
+
+
+def test_graceful_stop_ends_in_time_despite_many_silent_transactions(
+    tmp_path,
+):
+    async def test(cluster, process):
+        await change_config(cluster, limits={"txIdleMs": 10_000})
+        callers = [await process.connect() for _ in range(5)]
+        for caller in callers:
+            await caller.query("BEGIN")
+            assert is_success(await caller.query("WRITE a 1"))
+        cluster.group.instances["i-0"].is_silent = True
+        process.process.send_signal(signal.SIGTERM)
+        assert await wait_exit(process, 3) == 0
+
+    run_process(test, tmp_path)
+
+
 def test_sighup_keeps_transactions_open(tmp_path):
     async def test(cluster, process):
         caller = await process.connect()
