End statements at a replaced primary with the view they were sent on

A VM that reads of a failover late goes on with statements at the old primary for 0.3 s and answers a write as a success, while the VM that runs the failover has waited only for views from before it: 1.5 s or 3.9 s. If a replica is too busy to answer the pause, another one with the old primary's last position is promoted without it, and that write is gone.

Cause: the 0.3 s count from when the failover is read, with whatever age the view had by then.

Ruled out: waiting 0.3 s longer in the failover, which every one of them would pay; no time at all, which leaves the writes that run during a planned change in doubt.

Change: the time ends with the view that the statements were sent on, at most 1.3 s after its confirmation. A view is rarely older than 0.7 s, so the 0.3 s stay as they are but for VMs that had lost touch.

--- a/src/geraniumridge/_internal/decisions/view_age.py
+++ b/src/geraniumridge/_internal/decisions/view_age.py
@@ -12,12 +12,21 @@
 
     def __init__(self):
         self._confirmed_at = -math.inf
+        self._last_confirmed_at = -math.inf
 
     @property
     def confirmed_at(self):
         """Clock time up to which the view is known to be complete."""
         return self._confirmed_at
 
+    @property
+    def last_confirmed_at(self):
+        """The `confirmed_at` before the last answer that raised it.
+
+        What that answer shows for the first time began later.
+        """
+        return self._last_confirmed_at
+
     def confirm(self, sent_at):
         """Record an answer of the store that the view now reflects.
 
@@ -26,7 +35,9 @@
         sent_at : float
             Clock time just before the request was sent.
         """
-        self._confirmed_at = max(self._confirmed_at, sent_at)
+        if sent_at > self._confirmed_at:
+            self._last_confirmed_at = self._confirmed_at
+            self._confirmed_at = sent_at
 
     def get_age(self, now):
         """Return the age, infinite before the first answer."""
--- a/src/geraniumridge/_internal/proxy/primary_revocation.py
+++ b/src/geraniumridge/_internal/proxy/primary_revocation.py
@@ -91,7 +91,19 @@
         if self._acknowledged.get(group) == revision:
             return
         self._acknowledged[group] = revision
-        nursery.start_soon(self._acknowledge, group, revision)
+        nursery.start_soon(
+            self._acknowledge, group, revision, self._get_grace_s()
+        )
+
+    def _get_grace_s(self):
+        """Return how long running statements at a primary may still take.
+
+        They were sent on the view before the failover was seen, and the VM
+        that runs it waits no longer than such a view may be used.
+        """
+        sent_on = self._node.view_age.last_confirmed_at
+        expires_at = sent_on + primary_resolver.MAX_UNCONFIRMED_AGE_S
+        return max(0.0, min(STATEMENT_GRACE_S, expires_at - clock.now()))
 
     def _check_new_primary(self, group, usage):
         """Stop using the former primary once another one is recorded."""
@@ -103,9 +115,9 @@
         self._known_primaries[group] = lead.target
         self._stop_using(group, usage, "another target leads")
 
-    async def _acknowledge(self, group, revision):
+    async def _acknowledge(self, group, revision, grace_s):
         usage = self._node.get_primary_usage(group)
-        await usage.wait_idle(STATEMENT_GRACE_S)
+        await usage.wait_idle(grace_s)
         self._stop_using(group, usage, "replacement pending")
         key = fleet.make_lead_key(group)
         while self._node.view.get_revision(key) == revision:
--- a/tests/unit/decisions/test_view_age.py
+++ b/tests/unit/decisions/test_view_age.py
@@ -23,3 +23,11 @@
     age.confirm(10.0)
     age.confirm(9.0)
     assert age.confirmed_at == 10.0
+
+
+def test_time_before_the_last_answer_is_remembered():
+    age = view_age.ViewAge()
+    age.confirm(10.0)
+    age.confirm(12.0)
+    age.confirm(11.0)
+    assert age.last_confirmed_at == 10.0
