Take a target that returns under another id for the one that left

What callers saw: with the wait for departed replicas alone, a group whose replica crashed would have stood without a primary for 30 s.

That the departed ones count closes this; this change ends their wait when a target of the group has their address.

test_replica_that_returns_under_another_id_is_promoted failed on the commit before (no primary within 5 s after the return) and passes now, with the other tests on replicas (5).

--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -311,13 +311,12 @@
         )
 
     def _refresh_connections(self):
-        view = self._node.view
-        recently_removed = view.list_recently_removed(
-            self._group, clock.now(), DEREGISTERED_QUERY_S
-        )
         targets = {
             item.id: item
-            for item in [*view.list_group(self._group), *recently_removed]
+            for item in [
+                *self._node.view.list_group(self._group),
+                *self._list_departed(),
+            ]
         }
         for target_id in list(self._connections.keys() - targets.keys()):
             self._connections.pop(target_id).close()
@@ -327,6 +326,20 @@
                     self._node.dialect, target
                 )
 
+    def _list_departed(self):
+        """Return the targets that left recently and have not returned.
+
+        A target that returns under another id has its log and address.
+        """
+        view = self._node.view
+        addresses = {item.address for item in view.list_group(self._group)}
+        recently_removed = view.list_recently_removed(
+            self._group, clock.now(), DEREGISTERED_QUERY_S
+        )
+        return [
+            item for item in recently_removed if item.address not in addresses
+        ]
+
     def _list_others(self):
         return [
             connection
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -42,6 +42,15 @@
     ]
 
 
+async def restart_as(cluster, instance, name):
+    """Start an instance that crashed again, under another id."""
+    del cluster.group.instances[instance.name]
+    instance.name = name
+    cluster.group.instances[name] = instance
+    await instance.start(cluster.nursery)
+    cluster.register(instance)
+
+
 async def write_until_acknowledged(caller, item, timeout_s=MAX_FAILOVER_S):
     """Repeat a write until it is acknowledged."""
     with trio.fail_after(timeout_s):
@@ -128,6 +137,28 @@
     assert (await caller.query("READ a"))[0] == "ROW 1"
 
 
+@run_in_cluster
+async def test_replica_that_returns_under_another_id_is_promoted(
+    cluster, proxy
+):
+    """It has the log of the instance that was at its address."""
+    caller = await cluster.connect(proxy)
+    cluster.group.instances["i-1"].ignores_replication = True
+    assert is_success(await caller.query("WRITE a 1"))
+    await wait_startup_delay(cluster)
+    departed = cluster.group.instances["i-2"]
+    departed.crash()
+    cluster.store.delete("servers/i-2")
+    cluster.group.instances["i-0"].crash()
+    # A failed primary is detected by statements that it does not answer.
+    cluster.nursery.start_soon(write_until_acknowledged, caller, "after")
+    await trio.sleep(succession.FENCE_TIMEOUT_S + 2)
+    cluster.group.instances["i-1"].ignores_replication = False
+    await restart_as(cluster, departed, "i-3")
+    await wait_failover_completed(cluster)
+    assert cluster.store.get(LEAD_KEY)["target"] == "i-3"
+
+
 @run_in_cluster
 async def test_replica_that_left_before_the_last_commits_is_not_waited_for(
     cluster, proxy
