--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -142,6 +142,16 @@
             return None
         return item.target
 
+    def get_removal_time(self, target_id):
+        """Return the clock time at which a target was removed, or None.
+
+        None while the target is registered, and once it is forgotten.
+        """
+        item = self._removed_targets.get(target_id)
+        if item is None or target_id in self._targets:
+            return None
+        return item.seen_at
+
     def list_recently_removed(self, group, now, within_s):
         """Return a group's targets that were removed recently."""
         return [
@@ -200,8 +210,15 @@
         return True
 
     def apply(self, now, changes):
-        """Apply the changes that follow the view's revision."""
-        for item in sorted(changes.items, key=lambda item: item.revision):
+        """Apply the changes that follow the view's revision.
+
+        Earlier ones, of an answer that another one has overtaken, are
+        ignored: the view no longer knows the keys deleted since.
+        """
+        newer = [
+            item for item in changes.items if item.revision > self._revision
+        ]
+        for item in sorted(newer, key=lambda item: item.revision):
             self._apply_item(now, item)
             self._last_change_revision = max(
                 self._last_change_revision, item.revision
