Walk voters while members come and go

A mutant of lacks_majority that looks at the present members only, and one of has_majority that counts the own vote of a VM that is no voter, passed the tests of the voters. Both fail now: VoterFencing lets members join, lose their entries and register again (1,000 walks of up to 35 steps), and test_vm_that_is_no_voter_does_not_count_for_its_own_record covers the second.

--- a/tests/unit/decisions/test_fencing.py
+++ b/tests/unit/decisions/test_fencing.py
@@ -289,8 +289,11 @@
         self.check()
 
 
+FURTHER_VMS = [f"vm-{number}" for number in range(3, 9)]
+
+
 class VoterFencing(MinorityFencing):
-    """Only some of the members vote, as in a large fleet."""
+    """Only some of the members vote, and members come and go."""
 
     names = [*VMS, "vm-3", "vm-4"]
 
@@ -302,14 +305,34 @@
     def teardown(self):
         quorum.MAX_VOTERS = self._max_voters
 
-    @stateful.rule(name=st.sampled_from(["vm-3", "vm-4"]))
-    def sync_further_vm(self, name):
+    @stateful.precondition(lambda self: len(self.vms) < 9)
+    @stateful.rule()
+    def join(self):
+        name = f"vm-{len(self.vms)}"
+        self.start(name)
         self.sync(name)
         self.acknowledge(name)
 
-    @stateful.rule(member=st.sampled_from(["vm-3", "vm-4"]))
+    @stateful.rule(name=st.sampled_from(["vm-1", *FURTHER_VMS]))
+    def lose_entry(self, name):
+        self.put(fleet.make_member_key(name), None)
+
+    @stateful.rule(name=st.sampled_from(["vm-1", *FURTHER_VMS]))
+    def register(self, name):
+        if name in self.vms:
+            member = fleets.make_member(name, self.vms[name].boot)
+            self.put(fleet.make_member_key(name), member)
+
+    @stateful.rule(name=st.sampled_from(FURTHER_VMS))
+    def sync_further_vm(self, name):
+        if name in self.vms:
+            self.sync(name)
+            self.acknowledge(name)
+
+    @stateful.rule(member=st.sampled_from(FURTHER_VMS))
     def send_confirmation_request_to_further_vm(self, member):
-        self.send_request(SILENT, member)
+        if member in self.vms:
+            self.send_request(SILENT, member)
 
 
 SETTINGS = hypothesis.settings(
@@ -320,7 +343,9 @@
 )
 Fencing.TestCase.settings = SETTINGS
 MinorityFencing.TestCase.settings = SETTINGS
-VoterFencing.TestCase.settings = SETTINGS
+VoterFencing.TestCase.settings = hypothesis.settings(
+    SETTINGS, max_examples=1_000, stateful_step_count=35
+)
 TestFencing = Fencing.TestCase
 TestMinorityFencing = MinorityFencing.TestCase
 TestVoterFencing = VoterFencing.TestCase
--- a/tests/unit/decisions/test_quorum.py
+++ b/tests/unit/decisions/test_quorum.py
@@ -52,3 +52,13 @@
     others = members - set(voters)
     assert quorum.lacks_majority(minority | others, [members])
     assert not quorum.lacks_majority(majority, [members])
+
+
+def test_vm_that_is_no_voter_does_not_count_for_its_own_record():
+    members = make_fleet(87)
+    voters = quorum.choose_voters(members)
+    own = sorted(members - voters)[0]
+    confirmations = quorum.QuorumConfirmations()
+    for vm in sorted(voters)[: quorum.MAX_VOTERS // 2]:
+        confirmations.add(vm, quorum.Confirmation(0.0, frozenset()))
+    assert not confirmations.has_majority("ledger", own, voters, 0.0)
