Keep the fallback rate beside a limiter that lost the store

Cause: such a limiter still answers, that it may no longer be the limiter. The answer was recorded as a grant with a fallback rate of 0, so the VM refused at once what a limiter that says nothing would have left it.

Change: only a limiter's answer replaces the fallback rate. In return it ends as soon as a recent view names a successor, which was used beside the successor's grants for up to 3 s before.

Ruled out: silent limiters (the log has no limiter_silent in these seconds).

test_limiter_that_lost_the_store_leaves_the_fallback_rate and test_fallback_rate_ends_when_a_successor_is_known failed before.

--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -197,9 +197,6 @@
         grant = await self._request_grant(team, team_state, wanted, now)
         if grant is None:
             return self._take_fallback_token(team, team_state, clock.now())
-        if not grant.is_owner:
-            team_state.retry_at = clock.now() + SILENT_RETRY_DELAY_S
-            return False
         if grant.tokens < wanted:
             pause_s = max(MIN_RETRY_DELAY_S, grant.retry_ms / 1000)
             team_state.retry_at = clock.now() + pause_s
@@ -208,10 +205,15 @@
     def _take_fallback_token(self, team, team_state, now):
         if team_state.limiter is None:
             return False
-        is_registered = self._node.view_age.is_within(
+        has_recent_view = self._node.view_age.is_within(
             now, rates.MAX_REGISTRATION_AGE_S
-        ) and (self._find_limiter(team) == team_state.limiter)
-        return team_state.take_fallback_token(now, is_registered)
+        )
+        if has_recent_view and self._find_limiter(team) != team_state.limiter:
+            # The successor grants tokens by now.
+            return False
+        return team_state.take_fallback_token(
+            now, is_registered=has_recent_view
+        )
 
     def _find_limiter(self, team):
         """Return the member that limits a team, or None.
@@ -228,12 +230,17 @@
         return self._limiters[team]
 
     async def _request_grant(self, team, team_state, wanted, now):
-        """Request tokens and record the grant, or a silent limiter."""
+        """Request tokens and record the grant.
+
+        Returns None if the limiter is silent, or grants nothing because it
+        may no longer be the limiter. It may have lost the store, so that no
+        successor is known yet; the fallback rate stays as it is.
+        """
         grant = await self._query_limiter(team, wanted)
-        if grant is None:
+        if grant is None or not grant.is_owner:
             team_state.retry_at = clock.now() + SILENT_RETRY_DELAY_S
-        else:
-            team_state.note_grant(grant, self._find_limiter(team), now)
+            return None
+        team_state.note_grant(grant, self._find_limiter(team), now)
         return grant
 
     async def _query_limiter(self, team, wanted):
