Answer a statement whose transaction a stop fails meanwhile

A caller whose statement a busy target had refused could lose its connection without an answer while its VM stopped.

Cause: a stop fails open transactions at half of the grace period. If one of them was waiting to try a busy target again, the retry found no connection; the exception closed the caller's connection.

Change: such a statement is answered as rolled back, which it was.

test_statement_whose_transaction_is_failed_meanwhile_is_answered failed before (None for the connection) and passes now, as do the unit tests.

--- a/src/geraniumridge/_internal/proxy/transaction.py
+++ b/src/geraniumridge/_internal/proxy/transaction.py
@@ -106,6 +106,8 @@
         deadline = trio.current_time() + self._admission_result.route.timeout_s
         for _ in range(MAX_BUSY_ATTEMPTS):
             connection, self._connection = self._connection, None
+            if connection is None:
+                return _make_rollback_answer("the transaction was failed")
             try:
                 await self._runner.restore_session(
                     connection, context, deadline
