Refuse new sessions while a VM stops

Cause: callers reach a VM for up to two seconds after it reports that it is not ready. A new session got READY and was closed at once, as idle ones are; the caller had sent its statement by then, and a single write is not tried again after a broken connection.

A request that crosses the end of an idle session remains.

Change: a session that begins during a stop is refused as overloaded, which callers answer by trying another VM.

test_graceful_stop_refuses_new_sessions failed before (READY) and passes now, with all of test_proxy_process.py (14).

--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -108,6 +108,8 @@
 
     async def open_session(self, database, key):
         """Return a new session and None, or None and the refusal."""
+        if self.is_stopping:
+            return None, refuse_stopping()
         if self._node.view.state is None:
             with trio.move_on_after(FIRST_VIEW_TIMEOUT_S):
                 while self._node.view.state is None:
--- a/tests/functional/test_proxy_process.py
+++ b/tests/functional/test_proxy_process.py
@@ -187,6 +187,23 @@
     run_process(test, tmp_path)
 
 
+def test_graceful_stop_refuses_new_sessions(tmp_path):
+    """A caller that gets READY would send its statement to a closed end."""
+
+    async def test(cluster, process):
+        caller = await process.connect()
+        await caller.query("BEGIN")
+        process.process.send_signal(signal.SIGTERM)
+        await trio.sleep(0.2)
+        late = proxies.Caller(process.listen.callers)
+        await late.open()
+        answer = await late.start_session("orders", "key")
+        assert answer.startswith("ERROR BUSY")
+        assert is_success(await caller.query("COMMIT"))
+
+    run_process(test, tmp_path)
+
+
 def test_graceful_stop_ends_in_time_despite_many_silent_transactions(
     tmp_path,
 ):
