Fail a transaction before its rollback, not after

By a test: a COMMIT that reached a VM while a graceful stop rolled its transaction back was answered as a success, though its writes were gone.

Cause: the stop awaited the rollback before the session counted as failed. The COMMIT found the transaction without its connection, took it for one without statements so far, and committed a new, empty one.

Ruled out: a COMMIT that runs already when the stop fails transactions; it has left the session by then.

Change: the session counts as failed, and gives the transaction up, before the rollback; a transaction that was rolled back runs nothing any more, and one whose statement was running is rolled back after it.

test_commit_of_a_transaction_that_a_stop_rolls_back_is_no_success and test_write_in_a_transaction_that_a_stop_rolls_back_is_not_run failed before.

--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -151,17 +151,18 @@
         """Roll back the open transaction and mark it as failed.
 
         The caller has to end a failed transaction before it can run
-        further statements.
+        further statements. It counts as failed before the rollback, as the
+        caller may send a statement meanwhile.
         """
         if self._transaction is not None:
-            await self.close()
             self._has_failed = True
+            await self.close()
 
     async def close(self):
         """End the session and roll back its open transaction."""
-        if self._transaction is not None:
-            await self._transaction.roll_back()
-            self._transaction = None
+        ended, self._transaction = self._transaction, None
+        if ended is not None:
+            await ended.roll_back()
 
     @HANDLERS_BY_VERB.register(Verb.SET)
     async def _set(self, statement):
--- a/src/geraniumridge/_internal/proxy/transaction.py
+++ b/src/geraniumridge/_internal/proxy/transaction.py
@@ -40,6 +40,7 @@
         self._destination = None
         self._epoch = 0
         self._has_written = False
+        self._is_rolled_back = False
 
     async def run(self, statement, is_write):
         """Run a statement of the transaction.
@@ -50,16 +51,11 @@
         if is_write and self._is_read_only:
             return _make_rollback_answer("the transaction only reads")
         self._has_written |= is_write
-        if self._connection is None:
-            return await self._run_first(statement)
-        return await self._run_next(statement)
+        return await self._run_statement(statement)
 
     async def commit(self, statement):
         """Commit; return the answer, IN_DOUBT if the result is unknown."""
-        if self._connection is None:
-            answer = await self._run_first(statement)
-        else:
-            answer = await self._run_next(statement)
+        answer = await self._run_statement(statement)
         if answer.is_success:
             if self._has_written:
                 group = self._admission_result.route.group
@@ -70,10 +66,23 @@
 
     async def roll_back(self):
         """Roll back the transaction at its target, if it began there."""
+        self._is_rolled_back = True
         connection, self._connection = self._connection, None
         if connection is not None:
             await self._runner.roll_back(connection)
 
+    async def _run_statement(self, statement):
+        if self._is_rolled_back:
+            return _make_rollback_answer("the transaction was rolled back")
+        if self._connection is None:
+            answer = await self._run_first(statement)
+        else:
+            answer = await self._run_next(statement)
+        if self._is_rolled_back:
+            # The statement was running, and so kept the connection.
+            await self.roll_back()
+        return answer
+
     async def _run_first(self, statement):
         budget = attempt_budget.AttemptBudget(self._admission_result.route)
         context = self._make_context(
