Name no target for an entry whose address is malformed

An entry of another writer may hold any text as address. A deeply nested entry raised RecursionError out of the follower.

--- a/tests/unit/platform/test_records.py
+++ b/tests/unit/platform/test_records.py
@@ -96,3 +96,15 @@
 
 def test_other_keys_are_ignored():
     assert decode("elsewhere/x", {"a": 1}) is None
+
+
+@pytest.mark.parametrize(
+    "address", ["", "nowhere", "10.0.0.9:", "10.0.0.9:99999", "a\0b:80"]
+)
+def test_instance_entry_with_a_malformed_address_names_no_target(address):
+    assert decode("servers/i-1", {**SERVER, "address": address}) is None
+
+
+def test_deeply_nested_entry_names_no_target():
+    value = b'{"a":' * 100_000
+    assert records.decode_record("servers/i-1", value) is None
