Cover a departed target's commits with the newest position known

Found by review of the wait for departed replicas, by unit tests of the decisions. A departed target that has only lost the store goes on receiving and acknowledging commits; the first position asked for after its removal covers none of them, and a replica at 20 was chosen while the departed one held 90. And a departed target that answered ahead of the others was forgotten 30 s after its removal, whereupon one behind it was chosen.

Change: the newest position that the VM ever had counts, if it was requested after the removal; and no replica is chosen that is behind what any has reported during the failover. Two kinds of known positions in PositionHistory become one.

What remains: commits that other VMs had acknowledged since that position, and a VM that first read the store after the removal knows of no departed target.

test_no_replica_behind_one_that_has_fallen_silent_is_chosen and test_newest_position_is_known_after_the_vm_stopped_using_the_primary failed before (the latter for the first position).

--- a/src/geraniumridge/_internal/decisions/position_history.py
+++ b/src/geraniumridge/_internal/decisions/position_history.py
@@ -32,7 +32,7 @@
 
     def __init__(self):
         self._positions = []
-        self._former_positions = []
+        self._newest_ever = None
         self._term = 0
 
     @property
@@ -59,27 +59,24 @@
         if log_position.term < self._term:
             return
         if log_position.term > self._term:
-            self.clear()
+            self._positions.clear()
             self._term = log_position.term
         if self._positions and sent_at < self._positions[-1].sent_at:
             return
         self._drop_before(sent_at - RETENTION_S)
         if self._is_redundant(sent_at):
-            self._positions[-1] = TimedPosition(
-                sent_at, max(log_position, self._positions[-1].log_position)
-            )
-            return
-        self._positions.append(TimedPosition(sent_at, log_position))
+            former = self._positions.pop()
+            log_position = max(log_position, former.log_position)
+        self._newest_ever = TimedPosition(sent_at, log_position)
+        self._positions.append(self._newest_ever)
 
     def clear(self):
         """Remove all positions, as the VM stops using the primary.
 
-        The term stays: positions of an earlier one are still ignored.
-        `find_known_covering` still finds the positions removed last.
+        The term stays: positions of an earlier one are still ignored. So
+        does the position that `find_newest_since` returns.
         """
-        if self._positions:
-            self._former_positions = self._positions
-            self._positions = []
+        self._positions.clear()
 
     def find_covering(self, since):
         """Return the least position known to cover a point in time.
@@ -95,17 +92,34 @@
         records.LogPosition or None
             None if no position was requested at that time or later.
         """
-        return _find_covering(self._positions, since)
+        index = bisect.bisect_left(
+            self._positions, since, key=lambda item: item.sent_at
+        )
+        if index == len(self._positions):
+            return None
+        return self._positions[index].log_position
 
-    def find_known_covering(self, since):
-        """Return the least position known to cover a point in time.
+    def find_newest_since(self, since):
+        """Return the newest position ever added.
+
+        It outlasts `clear`: it tells nothing of the present log, but still
+        covers the commits up to its time.
+
+        Parameters
+        ----------
+        since : float
+            Clock time, in seconds, at which it must have been requested at
+            the earliest.
 
-        Unlike `find_covering`, it also considers the positions from before
-        the VM last stopped using the primary. They tell nothing of the
-        present log, but still cover the commits up to then.
+        Returns
+        -------
+        records.LogPosition or None
+            None if it was requested earlier, or if there is none.
         """
-        former = _find_covering(self._former_positions, since)
-        return former or _find_covering(self._positions, since)
+        newest = self._newest_ever
+        if newest is None or newest.sent_at < since:
+            return None
+        return newest.log_position
 
     def _is_redundant(self, sent_at):
         """Return whether a new position may replace the newest one."""
@@ -116,11 +130,3 @@
     def _drop_before(self, limit):
         while self._positions and self._positions[0].sent_at < limit:
             del self._positions[0]
-
-
-def _find_covering(positions, since):
-    """Return the first log position requested at a time or later."""
-    index = bisect.bisect_left(positions, since, key=lambda item: item.sent_at)
-    if index == len(positions):
-        return None
-    return positions[index].log_position
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -26,15 +26,15 @@
     """A target of the group and its status, None if it did not answer.
 
     `may_be_promoted` is false of a target that is draining, evacuated or
-    no longer registered; its status still counts. `max_position` is a log
-    position that covers every commit that the target received before its
-    entry was removed, None while it is registered or if none is known.
+    no longer registered; its status still counts. `covering_position` is
+    a log position that covers every commit that the target received before
+    its entry was removed, None while it is registered or if none is known.
     """
 
     target: desired.Target
     status: desired.TargetStatus | None
     may_be_promoted: bool
-    max_position: records.LogPosition | None = None
+    covering_position: records.LogPosition | None = None
 
 
 class Fence:
@@ -171,7 +171,9 @@
     )
 
 
-def choose_successor(replicas, min_position):
+def choose_successor(
+    replicas, min_position, reported_position=records.LOG_START
+):
     """Return the replica that is certain to hold every acknowledged commit.
 
     Parameters
@@ -181,30 +183,36 @@
         that each reported after it stopped replicating.
     min_position : records.LogPosition or None
         A position known to cover every acknowledged commit.
+    reported_position : records.LogPosition
+        The highest position that any replica has reported during the
+        failover, also one that has fallen silent since.
 
     Returns
     -------
     Replica or None
         None if no replica that may be promoted is certain to hold them.
     """
-    known = [item for item in replicas if item.status is not None]
-    promotable = [item for item in known if item.may_be_promoted]
+    promotable = [
+        item
+        for item in replicas
+        if item.status is not None and item.may_be_promoted
+    ]
     if not promotable:
         return None
     best = max(promotable, key=lambda item: item.status.received)
-    if min_position is not None and best.status.received >= min_position:
+    received = best.status.received
+    if min_position is not None and received >= min_position:
         return best
     # The newest acknowledged commit may be at a single replica, so the
     # successor has to hold what each of them may have received.
-    for item in replicas:
-        max_position = _find_max_position(item)
-        if max_position is None or best.status.received < max_position:
-            return None
+    bounds = [_find_bound(item) for item in replicas]
+    if None in bounds or received < max(reported_position, *bounds):
+        return None
     return best
 
 
-def _find_max_position(replica):
-    """Return a position that covers what a replica received, or None."""
+def _find_bound(replica):
+    """Return a position up to which a replica may hold commits, or None."""
     if replica.status is not None:
         return replica.status.received
-    return replica.max_position
+    return replica.covering_position
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -8,6 +8,7 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
+from geraniumridge._internal.models import records
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import control
 from geraniumridge._internal.utils import clock
@@ -81,6 +82,7 @@
         self._may_keep_old = may_keep_old
         self._pending_since = pending_since
         self._connections = {}
+        self._reported_position = records.LOG_START
 
     async def run(self):
         """Run until the failover completes or this VM may not continue.
@@ -174,11 +176,14 @@
                 item.target,
                 paused_statuses[item.target.id],
                 may_be_promoted,
-                self._find_max_position(item.target.id),
+                self._find_covering_position(item.target.id),
             )
             for item, may_be_promoted in self._list_candidates()
         ]
-        chosen = succession.choose_successor(replicas, min_position)
+        self._note_reported(paused_statuses.values())
+        chosen = succession.choose_successor(
+            replicas, min_position, self._reported_position
+        )
         self._log(
             "successor chosen" if chosen else "no successor proved",
             target=chosen.target.id if chosen else None,
@@ -199,18 +204,26 @@
             return False
         return await self._complete(chosen.target.id, new_term)
 
-    def _find_max_position(self, target_id):
+    def _find_covering_position(self, target_id):
         """Return a position that covers a departed target's commits.
 
         A commit that the primary acknowledged before the removal of the
         target's entry was seen is covered by its answer to a statement
-        sent after that.
+        sent after that. The newest answer also covers later commits of a
+        target that has only lost the store.
         """
         removed_at = self._node.view.get_removal_time(target_id)
         if removed_at is None:
             return None
         positions = self._node.get_log_positions(self._group)
-        return positions.find_known_covering(removed_at)
+        return positions.find_newest_since(removed_at)
+
+    def _note_reported(self, statuses):
+        for status in statuses:
+            if status is not None:
+                self._reported_position = max(
+                    self._reported_position, status.received
+                )
 
     async def _request_promotion(self, target_id):
         """Order a promotion; return whether it may have been carried out.
--- a/tests/unit/decisions/test_position_history.py
+++ b/tests/unit/decisions/test_position_history.py
@@ -46,18 +46,18 @@
     assert history.newest is None
 
 
-def test_positions_of_the_last_use_are_still_known_after_clear():
+def test_newest_position_is_known_after_the_vm_stopped_using_the_primary():
     history = position_history.PositionHistory()
+    assert history.find_newest_since(0.0) is None
     history.add(1.0, LogPosition(1, 10))
     history.add(2.0, LogPosition(1, 20))
     history.clear()
     history.clear()
-    assert history.find_known_covering(0.5) == LogPosition(1, 10)
-    assert history.find_known_covering(1.5) == LogPosition(1, 20)
-    assert history.find_known_covering(2.5) is None
+    assert history.find_newest_since(0.5) == LogPosition(1, 20)
+    assert history.find_newest_since(2.0) == LogPosition(1, 20)
+    assert history.find_newest_since(2.5) is None
     history.add(3.0, LogPosition(2, 25))
-    assert history.find_known_covering(1.5) == LogPosition(1, 20)
-    assert history.find_known_covering(2.5) == LogPosition(2, 25)
+    assert history.find_newest_since(1.5) == LogPosition(2, 25)
 
 
 @given(
--- a/tests/unit/decisions/test_succession.py
+++ b/tests/unit/decisions/test_succession.py
@@ -163,7 +163,7 @@
     )
 
 
-def make_replica(name, position, may_be_promoted=True, max_position=None):
+def make_replica(name, position, may_be_promoted=True, covering_position=None):
     status = position and desired.TargetStatus(
         desired.Role.REPLICA, 1, LogPosition(1, position), 2, 0.0, 0, 1
     )
@@ -171,7 +171,7 @@
         fleets.make_target(name),
         status or None,
         may_be_promoted,
-        max_position and LogPosition(1, max_position),
+        covering_position and LogPosition(1, covering_position),
     )
 
 
@@ -194,18 +194,27 @@
 
 
 @pytest.mark.parametrize(
-    ("max_position", "chosen_id"), [(5, "a"), (6, None), (None, None)]
+    ("covering_position", "chosen_id"), [(5, "a"), (6, None), (None, None)]
 )
 def test_departed_replica_counts_unless_its_commits_are_covered(
-    max_position, chosen_id
+    covering_position, chosen_id
 ):
-    departed = make_replica("b", None, False, max_position)
+    departed = make_replica("b", None, False, covering_position)
     chosen = succession.choose_successor(
         [make_replica("a", 5), departed], None
     )
     assert (chosen and chosen.target.id) == chosen_id
 
 
+def test_no_replica_behind_one_that_has_fallen_silent_is_chosen():
+    """A departed replica answers, and is forgotten before it returns."""
+    replicas = [make_replica("a", 5)]
+    reported = LogPosition(1, 7)
+    assert succession.choose_successor(replicas, None, reported) is None
+    chosen = succession.choose_successor(replicas, LogPosition(1, 5), reported)
+    assert chosen.target.id == "a"
+
+
 def test_departed_replica_that_answers_counts_with_its_position():
     departed = make_replica("b", 7, False, 5)
     replicas = [make_replica("a", 5), departed]
