Refuse statements that wait for connections to a silent target

Cause: a pool waits for a free connection until the statement's deadline, also while the calls on the others get no answer. A statement that finds a connection free still tries the target.

Test: test_statement_does_not_wait_for_connections_to_a_silent_target failed before (held for 1 s).

--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -24,6 +24,13 @@
 IDLE_TIMEOUT_S = 20.0
 """Time after which an idle connection is closed."""
 
+SILENT_TARGET_S = 0.4
+"""Time without an answer after which no statement waits any longer for a
+connection to a target; few calls take as long."""
+
+SILENCE_CHECK_INTERVAL_S = 0.1
+"""Interval at which waiting statements check whether the target answers."""
+
 CONNECTION_LIMIT_PAUSE_S = 0.03
 """Pause after a target refused a connection because its limit was
 reached."""
@@ -104,7 +111,8 @@
         Raises
         ------
         exceptions.NetworkError
-            If the target cannot be reached or refuses the connection.
+            If the target cannot be reached or refuses the connection, or if
+            all connections are in use and it leaves their calls unanswered.
         """
         while True:
             found = self._take_idle_connection(target, team)
@@ -112,7 +120,12 @@
                 return found
             if self.size < self._limits.max_open or self._close_oldest_idle():
                 return await self._open_connection(target, team)
-            await self._capacity_freed.wait()
+            if self._is_target_silent():
+                raise exceptions.NotSentError(
+                    f"{target.id}: silent, and no connection is free"
+                )
+            with trio.move_on_after(SILENCE_CHECK_INTERVAL_S):
+                await self._capacity_freed.wait()
 
     def release(self, connection):
         """Put back a connection on which no transaction is open."""
@@ -151,6 +164,16 @@
                 self._idle.remove(connection)
                 connection.link.abort()
 
+    def _is_target_silent(self):
+        """Return whether calls have been unanswered for too long.
+
+        A call must be old too: the last answer may be, without any call
+        since.
+        """
+        now = clock.now()
+        is_silent = self.load.get_silent_s(now) >= SILENT_TARGET_S
+        return is_silent and self.load.is_stalled(now)
+
     def _take_idle_connection(self, target, team):
         for connection in list(self._idle):
             if (
--- a/tests/functional/test_proxy_path.py
+++ b/tests/functional/test_proxy_path.py
@@ -6,6 +6,7 @@
 import trio
 
 from geraniumridge._internal.proxy import daemon
+from geraniumridge._internal.proxy import pool
 from geraniumridge._internal.utils import clock
 from lib import proxies
 from lib.proxies import is_success
@@ -278,6 +279,26 @@
     trio.run(main)
 
 
+@run_in_cluster
+async def test_statement_does_not_wait_for_connections_to_a_silent_target(
+    cluster, proxy
+):
+    """It was held until its time limit before it was refused."""
+    services = [{"name": "ledger", "maxConns": 1, "syncReplicas": 1}]
+    config = proxies.make_config(2, services=services)
+    cluster.store.put("op/config", config)
+    await proxies.wait_until(lambda: proxy.node.view.state.version == 2)
+    callers = [await cluster.connect(proxy) for _ in range(3)]
+    cluster.group.instances["i-0"].is_silent = True
+    # The VM may open its share and one more, and these two wait in vain.
+    for caller in callers[:2]:
+        cluster.nursery.start_soon(caller.query, "WRITE a 1")
+    await trio.sleep(0.05)
+    with trio.fail_after(pool.SILENT_TARGET_S + 0.3):
+        lines = await callers[2].query("WRITE a 2")
+    assert lines[0].startswith("ERROR BUSY")
+
+
 def test_connections_beyond_the_share_are_closed_when_vms_join():
     """The VM that was alone keeps no more open than its new share."""
 
