Let a limiter that lost the store remember its fallback rates

Found by review of the fallback rates that now outlast such a limiter's answer: it dropped its bucket with the rates that it had left to others, so after a return within its lease it granted the whole limit beside them.

Change: the bucket is emptied while the VM may not grant, and keeps the rates. test_limiter_that_lost_the_store_still_subtracts_fallback_rates covers it (the method is new; the bucket was made anew before).

--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -133,6 +133,13 @@
         self._bucket = Bucket(now)
         self._requesters = {}
 
+    def restart(self, now):
+        """Empty the bucket, as this VM may not be the limiter for a while.
+
+        The fallback rates stay, since requesters may go on using them.
+        """
+        self._bucket = Bucket(now)
+
     def fill(self, allowance, now):
         """Add the tokens gained since the last call.
 
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -151,14 +151,11 @@
         now = clock.now()
         for team, limit in state.teams.items():
             self._get_team_state(team, now)
-            if not self._is_limiter(team, now):
-                self._limiter_buckets.pop(team, None)
-                continue
-            if team not in self._limiter_buckets:
-                self._limiter_buckets[team] = rates.LimiterBucket(now)
-            self._limiter_buckets[team].fill(
-                _get_limiter_allowance(limit), now
-            )
+            if self._is_limiter(team, now):
+                allowance = _get_limiter_allowance(limit)
+                self._get_limiter_bucket(team, now).fill(allowance, now)
+            elif team in self._limiter_buckets:
+                self._limiter_buckets[team].restart(now)
         for entries in (
             self._team_states,
             self._limiter_buckets,
@@ -167,6 +164,12 @@
             for team in entries.keys() - state.teams.keys():
                 del entries[team]
 
+    def _get_limiter_bucket(self, team, now):
+        bucket = self._limiter_buckets.get(team)
+        if bucket is None:
+            bucket = self._limiter_buckets[team] = rates.LimiterBucket(now)
+        return bucket
+
     def _get_team_state(self, team, now):
         team_state = self._team_states.get(team)
         if team_state is None:
@@ -283,9 +286,7 @@
             return datagrams.messages.TokenGrant(
                 number=number, is_owner=False, tokens=0, retry_ms=0, pledge=0
             )
-        bucket = self._limiter_buckets.get(team)
-        if bucket is None:
-            bucket = self._limiter_buckets[team] = rates.LimiterBucket(now)
+        bucket = self._get_limiter_bucket(team, now)
         allowance = _get_limiter_allowance(limit)
         tokens, retry_s, fallback_rate = bucket.grant(
             requester, allowance, wanted, now
--- a/tests/unit/decisions/test_rates.py
+++ b/tests/unit/decisions/test_rates.py
@@ -83,6 +83,20 @@
     assert limiter_bucket._subtract_fallbacks(allowance, late).rate == 100.0
 
 
+def test_limiter_that_lost_the_store_still_subtracts_fallback_rates():
+    limiter_bucket = rates.LimiterBucket(0.0)
+    allowance = rates.Allowance(100.0, 100.0)
+    now = 0.0
+    for _ in range(200):
+        now += 0.05
+        _, _, fallback_rate = limiter_bucket.grant("vm-1", allowance, 1, now)
+    limiter_bucket.restart(now)
+    now += rates.FALLBACK_DELAY_S
+    assert limiter_bucket.grant("vm-2", allowance, 100, now)[0] == int(
+        (100.0 - fallback_rate) * rates.FALLBACK_DELAY_S
+    )
+
+
 def test_sum_of_fallback_rates_is_bounded():
     limiter_bucket = rates.LimiterBucket(0.0)
     allowance = rates.Allowance(10.0, 1000.0)
