Recognize a primary that returns under another id

What callers saw: a group can stay without a usable primary for ever. The failover chose it as the one with the highest log, ordered its promotion, which changes nothing as it leads already, waited 3 s for a later term and began again, every 3 s, with its replicas paused.

Cause: the old primary was looked for under its old id alone, so that the returned one counted as one of the replicas.

Ruled out: taking any primary of the recorded term for the old one; two may claim a term that the record does not know.

Change: the target of the group at the old primary's address is the old primary. It is kept if it may stay, and bounds the choice if not.

test_primary_that_returns_under_another_id_serves_again failed on (the three events again and again until its 15 s were over) and passes now. Unit tests pass.

--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -1,6 +1,7 @@
 """One failover of a group, as run by a VM."""
 
 import logging
+import math
 
 import trio
 
@@ -78,6 +79,7 @@
         self._key = fleet.make_lead_key(group)
         self._lead = node.view.get_lead(group)
         self._revision = node.view.get_revision(self._key)
+        self._old_address = self._find_address(self._lead.target)
         self._may_keep_old = may_keep_old
         self._pending_since = pending_since
         self._connections = {}
@@ -310,7 +312,22 @@
             lambda connection: connection.resume(),
         )
 
+    def _find_address(self, target_id):
+        """Return a target's address, None if it is no longer known."""
+        view = self._node.view
+        target = view.targets.get(target_id) or view.find_recently_removed(
+            target_id, clock.now(), math.inf
+        )
+        return target.address if target else None
+
+    def _follow_old_primary(self):
+        """Adopt the id under which the old primary has returned, if any."""
+        for target in self._node.view.list_group(self._group):
+            if target.address == self._old_address:
+                self._lead = self._lead._replace(target=target.id)
+
     def _refresh_connections(self):
+        self._follow_old_primary()
         targets = {
             item.id: item
             for item in [
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -159,6 +159,32 @@
     assert cluster.store.get(LEAD_KEY)["target"] == "i-3"
 
 
+@run_in_cluster
+async def test_primary_that_returns_under_another_id_serves_again(
+    cluster, proxy
+):
+    """Its log is ahead, and to promote a present primary does nothing."""
+    instances = cluster.group.instances
+    await wait_startup_delay(cluster)
+    caller = await cluster.connect(proxy)
+    assert is_success(await caller.query("WRITE a 0"))
+    for name in ("i-1", "i-2"):
+        instances[name].ignores_replication = True
+    assert not is_success(await caller.query("WRITE a 1"))
+    primary = instances["i-0"]
+    primary.crash()
+    caller = await cluster.connect(proxy)
+    cluster.nursery.start_soon(write_until_acknowledged, caller, "after")
+    await proxies.wait_until(lambda: cluster.store.get(LEAD_KEY))
+    cluster.store.delete("servers/i-0")
+    await restart_as(cluster, primary, "i-3")
+    for name in ("i-1", "i-2"):
+        instances[name].ignores_replication = False
+    await wait_failover_completed(cluster, MAX_FAILOVER_S)
+    other = await cluster.connect(proxy)
+    await write_until_acknowledged(other, "b", timeout_s=1.0)
+
+
 @run_in_cluster
 async def test_replica_that_left_before_the_last_commits_is_not_waited_for(
     cluster, proxy
