Let a former primary that returns as a replica be promoted

Found by review: the target at the old primary's address was taken for the old primary whatever its role, which left it out of the candidates, though its log may hold every commit. Only a primary is taken for it now.

--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -334,9 +334,13 @@
         return target.address if target else None
 
     def _follow_old_primary(self):
-        """Adopt the id under which the old primary has returned, if any."""
+        """Adopt the id under which the old primary has returned, if any.
+
+        One that returns as a replica may be promoted like the others.
+        """
         for target in self._node.view.list_group(self._group):
-            if target.address == self._old_address:
+            is_primary = target.role is desired.Role.PRIMARY
+            if is_primary and target.address == self._old_address:
                 self._lead = self._lead._replace(target=target.id)
 
     def _refresh_connections(self):
