Delay statements to an overloaded target, longer each time

Lost answers of its primary (7.4 to 11.4 s, 15.3 to 18.3 s) had begun it; it ended only when all VMs were killed, and when a cut kept most of them away. The targets refused 163,051 of 191,506 statements and counted 44,431 new connections.

Cause: a metastable overload. Every statement that a target refused as busy was sent again every 20 ms until its deadline, by every VM, often on a new connection, and a connection takes a slot for 12 ms. So the retries alone kept the slots taken after the trigger was gone.

Change: a VM that was refused sends nothing to that target for 20 ms, doubled to 0.64 s by each refusal of a later statement and halved by each success; reads go to other targets meanwhile. The pauses of a statement double too, and it is refused at once if no time is left after one.

--- a/src/geraniumridge/_internal/decisions/load.py
+++ b/src/geraniumridge/_internal/decisions/load.py
@@ -17,6 +17,14 @@
 MAX_RETRY_DELAY_S = 2.0
 """Longest delay between attempts at a target that keeps failing."""
 
+FIRST_OVERLOAD_DELAY_S = 0.02
+"""Delay before further statements are sent to a target that refused one as
+overloaded; each refusal of one sent after the delay doubles it."""
+
+MAX_OVERLOAD_DELAY_S = 0.64
+"""Longest such delay; bounds how late a target that has recovered is used
+again."""
+
 LAG_REPORT_VALID_S = 0.1
 """How long a reported log position shows that a target lags behind; by
 then it has probably caught up."""
@@ -40,6 +48,8 @@
         self._failing_since = None
         self._answered_at = -math.inf
         self._retry_at = 0.0
+        self._overload_steps = 0
+        self._refused_until = -math.inf
         self._position = records.LOG_START
         self._position_seen_at = -math.inf
 
@@ -120,6 +130,42 @@
         if self._failures > 0:
             self._retry_at = max(self._retry_at, now + ATTEMPT_HOLD_OFF_S)
 
+    def note_overloaded(self, sent_at, now, jitter):
+        """Record that the target refused a statement as overloaded.
+
+        Statements that were sent before the last delay had ended do not
+        prolong it.
+
+        Parameters
+        ----------
+        sent_at : float
+            Clock time, in seconds, at which the statement was sent.
+        now : float
+            Clock time, in seconds.
+        jitter : float
+            From 0 to 1; spreads the delays of the VMs.
+        """
+        if sent_at < self._refused_until:
+            return
+        delay_s = min(
+            MAX_OVERLOAD_DELAY_S,
+            FIRST_OVERLOAD_DELAY_S * 2**self._overload_steps,
+        )
+        self._overload_steps += 1
+        self._refused_until = now + delay_s * (0.5 + 0.5 * jitter)
+
+    def note_accepted(self):
+        """Record that the target ran a statement.
+
+        One success shortens the next delay only by one step: an overloaded
+        target still runs some statements.
+        """
+        self._overload_steps = max(0, self._overload_steps - 1)
+
+    def is_overloaded(self, now):
+        """Return whether the delay after a refusal still runs."""
+        return now < self._refused_until
+
     def note_position(self, position, now):
         """Record a log position reported by the target."""
         if position is not None:
@@ -132,6 +178,10 @@
             return False
         return now - self._position_seen_at < LAG_REPORT_VALID_S
 
+    def is_available(self, now):
+        """Return whether no delay after a failure or refusal runs."""
+        return not self.is_backing_off(now) and not self.is_overloaded(now)
+
     def is_backing_off(self, now):
         """Return whether the retry delay after a failure still runs."""
         return self._failures > 0 and now < self._retry_at
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -5,6 +5,7 @@
 still be used as primary.
 """
 
+import random
 import typing
 
 import trio
@@ -202,11 +203,13 @@
         """Begin a transaction; return the answer if it is refused."""
         text = self._node.dialect.format_begin(context.begin_read_only)
         call = targets.Call("", text, destination.min_position)
+        sent_at = clock.now()
         try:
             with trio.move_on_at(deadline):
                 (answer,) = await connection.link.call([call])
                 if answer.is_success:
                     return None
+                _note_outcome(pool.load, answer, sent_at)
                 self._return_connection(pool, connection, answer)
                 return answer
         except exceptions.ConnectionLostError as error:
@@ -262,6 +265,7 @@
                 f"{destination.target.id}: silent"
             )
         pool.load.note_position(answer.position, clock.now())
+        _note_outcome(pool.load, answer, sent_at)
         if destination.is_primary:
             answer = self._check_primary_answer(
                 context, answer, sent_at, epoch
@@ -303,3 +307,11 @@
             pool.release(connection)
         else:
             pool.discard(connection)
+
+
+def _note_outcome(load, answer, sent_at):
+    """Note whether a target is overloaded, by its answer."""
+    if answer.outcome is statements.Outcome.OVERLOADED:
+        load.note_overloaded(sent_at, clock.now(), random.random())
+    elif answer.is_success:
+        load.note_accepted()
--- a/src/geraniumridge/_internal/proxy/attempt_budget.py
+++ b/src/geraniumridge/_internal/proxy/attempt_budget.py
@@ -1,5 +1,7 @@
 """Limit on the time and the number of attempts of a statement."""
 
+import random
+
 import trio
 
 from geraniumridge._internal.models import statements
@@ -12,8 +14,11 @@
 """Pause before targets are looked up again."""
 
 REFUSED_PAUSE_S = 0.02
-"""Pause after every target has refused, and before a busy target is tried
-again within a transaction."""
+"""First pause after targets have refused, doubled each time; also the pause
+before a busy target is tried again within a transaction."""
+
+MAX_REFUSED_PAUSE_S = 0.32
+"""Longest pause after targets have refused."""
 
 MIN_TIME_LEFT_S = 0.02
 """Least time left in which a further attempt makes sense."""
@@ -44,6 +49,8 @@
         )
         self._attempts_left = max(1, route.attempts)
         self._has_reached_target = False
+        self._refused_rounds = 0
+        self._is_exhausted = False
         self._reason = "no target may run it now"
         self._outcome = statements.Outcome.OVERLOADED
         self.excluded = set()
@@ -56,7 +63,9 @@
     def may_continue(self):
         """Return whether another attempt may start."""
         now = trio.current_time()
-        if self._attempts_left <= 0 or now >= self._deadline - MIN_TIME_LEFT_S:
+        if self._attempts_left <= 0 or self._is_exhausted:
+            return False
+        if now >= self._deadline - MIN_TIME_LEFT_S:
             return False
         return self._has_reached_target or now < self._target_wait_deadline
 
@@ -68,10 +77,28 @@
         return min(left, max(self._objective_s, MIN_READ_TIMEOUT_S))
 
     async def wait_before_retry(self):
-        """Wait before all targets are tried again."""
-        await trio.sleep(REFUSED_PAUSE_S if self.excluded else LOOKUP_PAUSE_S)
+        """Wait before all targets are tried again.
+
+        Without time for another attempt after the pause, the budget ends at
+        once.
+        """
+        pause_s = self._next_pause_s()
+        left = self._deadline - trio.current_time()
+        if pause_s >= left - MIN_TIME_LEFT_S:
+            self._is_exhausted = True
+            return
+        await trio.sleep(pause_s)
         self.excluded.clear()
 
+    def _next_pause_s(self):
+        if not self._has_reached_target:
+            return LOOKUP_PAUSE_S
+        pause_s = min(
+            MAX_REFUSED_PAUSE_S, REFUSED_PAUSE_S * 2**self._refused_rounds
+        )
+        self._refused_rounds += 1
+        return pause_s * random.uniform(0.5, 1.0)
+
     def note_not_sent(self, target, reason):
         """Note an attempt that did not reach its target."""
         self.excluded.add(target)
--- a/src/geraniumridge/_internal/proxy/quorum_exchange.py
+++ b/src/geraniumridge/_internal/proxy/quorum_exchange.py
@@ -12,7 +12,7 @@
 """Minimum time between requests."""
 
 REQUEST_LEAD_S = 0.35
-"""How long before a confirmation is needed the other members are asked first:
+"""How long before a confirmation is needed the other voters are asked first:
 for a second request after `REQUEST_INTERVAL_S`, and its answer."""
 
 REQUEST_AGE_S = primary_resolver.MAX_UNCONFIRMED_AGE_S - REQUEST_LEAD_S
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -93,6 +93,8 @@
         )
         if target is None or target.id in excluded:
             return None
+        if self._node.pools.get(target.id).load.is_overloaded(now):
+            return None
         if not self._is_allowed(context, target):
             return None
         if not self._take_warmup_token(target, now):
@@ -113,7 +115,7 @@
             if target.id not in excluded
             and not target.is_draining
             and self._is_allowed(context, target)
-            and not self._node.pools.get(target.id).load.is_backing_off(now)
+            and self._node.pools.get(target.id).load.is_available(now)
         ]
         candidates.sort(
             key=lambda target: self._estimate_wait(
--- a/standins/linegroup.py
+++ b/standins/linegroup.py
@@ -7,9 +7,13 @@
 `is_silent` (leaves statements unanswered), `ignores_replication`,
 `lose_answers` (how many of the next statements run without an answer),
 `is_down`, `read_error` (code that refuses every read) and `cut_from`
-(names of instances that it cannot reach).
+(names of instances that it cannot reach). `slots` bounds the statements
+and new connections that an instance works on at once; up to `queue_limit`
+more wait, and it refuses further statements.
 """
 
+import contextlib
+import math
 import typing
 
 import trio
@@ -22,6 +26,14 @@
 """How long a former primary keeps serving once it reaches the new one."""
 
 
+SLOT_COMMANDS = ("READ", "WRITE", "EXECUTE", "COMMIT")
+"""Commands that an instance runs in a slot."""
+
+
+class SlotsFullError(Exception):
+    """No slot is free, and as many statements wait as may wait."""
+
+
 class Commit(typing.NamedTuple):
     """Commit in the log; term and number are its position."""
 
@@ -51,6 +63,9 @@
         self.connections = 0
         self.max_connections = 20
         self.statement_time_s = 0.001
+        self.slots = math.inf
+        self.queue_limit = math.inf
+        self.connect_time_s = 0.0
         self.lag_s = 0.0
         self.is_silent = False
         self.ignores_replication = False
@@ -61,6 +76,9 @@
         self.executed = []
         self.connection_scopes = set()
         self._listener_scope = None
+        self._busy_slots = 0
+        self._waiting = 0
+        self._slot_freed = trio.Event()
 
     @property
     def log_position(self):
@@ -117,6 +135,31 @@
             for commit in self.log[: self.applied_count]
         ) or position == (1, 0)
 
+    @contextlib.asynccontextmanager
+    async def occupy_slot(self, queue_limit=math.inf):
+        """Hold a slot during the block, after waiting for one.
+
+        Raises
+        ------
+        SlotsFullError
+            If as many others as `queue_limit` already wait.
+        """
+        if self._busy_slots >= self.slots and self._waiting >= queue_limit:
+            raise SlotsFullError
+        self._waiting += 1
+        try:
+            while self._busy_slots >= self.slots:
+                await self._slot_freed.wait()
+        finally:
+            self._waiting -= 1
+        self._busy_slots += 1
+        try:
+            yield
+        finally:
+            self._busy_slots -= 1
+            self._slot_freed.set()
+            self._slot_freed = trio.Event()
+
     async def commit(self, writes):
         """Append a commit and wait until enough replicas received it."""
         term, number = self.term, self.log_position[1] + 1
@@ -270,6 +313,8 @@
         if instance.connections > instance.max_connections:
             return await self._send(f"ERROR CONNLIMIT {instance.name}")
         self._team = fields[2]
+        async with instance.occupy_slot():
+            await trio.sleep(instance.connect_time_s)
         await self._send(self._format_ready())
         while True:
             line = await self._read_line()
@@ -299,7 +344,13 @@
                 return self._fail_statement("LAGGING")
             command, _, arguments = text.partition(" ")
         handler = getattr(self, f"_do_{command.lower()}")
-        return await handler(statement_id, arguments)
+        if command not in SLOT_COMMANDS:
+            return await handler(statement_id, arguments)
+        try:
+            async with instance.occupy_slot(instance.queue_limit):
+                return await handler(statement_id, arguments)
+        except SlotsFullError:
+            return self._fail_statement("BUSY")
 
     def _fail_statement(self, code):
         if self._transaction_state == "T":
