--- a/tests/unit/platform/test_instances.py
+++ b/tests/unit/platform/test_instances.py
@@ -1,4 +1,8 @@
-"""Connections to instances whose store entries are malformed."""
+"""Connections that cannot be opened to instances."""
+
+import errno
+import socket
+import types
 
 import pytest
 import trio
@@ -23,9 +27,8 @@
 ]
 
 
-@pytest.mark.parametrize("address", MALFORMED_ADDRESSES)
-def test_malformed_address_counts_as_unreachable(address):
-    target = desired.Target(
+def make_target(address):
+    return desired.Target(
         id="i-1",
         group="ledger",
         address=address,
@@ -36,6 +39,30 @@
         role=desired.Role.REPLICA,
         started_ms=0,
     )
-    dialect = instances.LineDialect()
+
+
+def open_connection(target):
+    trio.run(instances.LineDialect().open, target, "team", TIMEOUT_S)
+
+
+@pytest.mark.parametrize("address", MALFORMED_ADDRESSES)
+def test_malformed_address_counts_as_unreachable(address):
+    with pytest.raises(exceptions.NotSentError):
+        open_connection(make_target(address))
+
+
+def test_vm_without_a_free_descriptor_has_not_sent_the_statement(monkeypatch):
+    """Otherwise the caller loses its connection without an answer."""
+
+    def fail(*arguments):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    target = make_target("127.0.0.1:1")
+    fake_socket = types.SimpleNamespace(
+        socket=fail,
+        AF_INET=socket.AF_INET,
+        SOCK_STREAM=socket.SOCK_STREAM,
+    )
+    monkeypatch.setattr(instances, "socket", fake_socket)
     with pytest.raises(exceptions.NotSentError):
-        trio.run(dialect.open, target, "team", TIMEOUT_S)
+        open_connection(target)
