Wait past the fence where a silent replica must hold up a promotion

test_no_replica_is_promoted_while_another_is_silent looked for a promotion for 3 s, while one VM alone waits 3.9 s before it may promote, so that it would have passed without the check that it is there for. It now looks for two seconds past the fence, which is stricter.

--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -106,7 +106,7 @@
     await wait_startup_delay(cluster)
     cluster.group.instances["i-2"].is_silent = True
     cluster.group.instances["i-0"].crash()
-    with trio.move_on_after(3):
+    with trio.move_on_after(succession.FENCE_TIMEOUT_S + 2):
         await write_until_acknowledged(caller, "after")
     assert not cluster.promotion_server.promotion_calls
     cluster.group.instances["i-2"].is_silent = False
