Name what the read-through stopped at; end a stop within any grace period

ViewAge.previous_confirmed_at and DEPARTED_TARGET_WAIT_S say what they are; the four phases of a stop have names. Statements have five sixths of the grace period instead of seven eighths: with the half second for the lease, 7/8 passed the end of a grace period under 4 s. Unit tests pass.

--- a/src/geraniumridge/_internal/decisions/view_age.py
+++ b/src/geraniumridge/_internal/decisions/view_age.py
@@ -12,7 +12,7 @@
 
     def __init__(self):
         self._confirmed_at = -math.inf
-        self._last_confirmed_at = -math.inf
+        self._previous_confirmed_at = -math.inf
 
     @property
     def confirmed_at(self):
@@ -20,12 +20,12 @@
         return self._confirmed_at
 
     @property
-    def last_confirmed_at(self):
+    def previous_confirmed_at(self):
         """The `confirmed_at` before the last answer that raised it.
 
         What that answer shows for the first time began later.
         """
-        return self._last_confirmed_at
+        return self._previous_confirmed_at
 
     def confirm(self, sent_at):
         """Record an answer of the store that the view now reflects.
@@ -36,7 +36,7 @@
             Clock time just before the request was sent.
         """
         if sent_at > self._confirmed_at:
-            self._last_confirmed_at = self._confirmed_at
+            self._previous_confirmed_at = self._confirmed_at
             self._confirmed_at = sent_at
 
     def get_age(self, now):
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -41,7 +41,7 @@
 """Fraction of the grace period in which callers may end the transactions
 that have failed."""
 
-STATEMENT_GRACE_SHARE = 0.875
+STATEMENT_GRACE_SHARE = 5 / 6
 """Fraction of the grace period in which running statements may end. The
 rest is for ending the lease."""
 
@@ -163,26 +163,38 @@
         logger.info("stopped", extra={"event": "stopped"})
 
     async def _drain(self):
-        grace_s = self._node.settings.bounds.stop_grace_s
+        """Let the sessions end, each kind within its share of the grace."""
         began_at = trio.current_time()
-        with trio.move_on_at(began_at + grace_s * TRANSACTION_GRACE_SHARE):
-            await self._wait_while_any(lambda item: True)
+        grace_s = self._node.settings.bounds.stop_grace_s
+        await self._wait_sessions_ended(
+            began_at + grace_s * TRANSACTION_GRACE_SHARE
+        )
         await self._fail_transactions()
-        with trio.move_on_at(began_at + grace_s * FAILED_SESSION_GRACE_SHARE):
-            await self._wait_while_any(lambda item: True)
-        with trio.move_on_at(began_at + grace_s * STATEMENT_GRACE_SHARE):
-            # Sessions outside a transaction end once they have answered.
-            await self._wait_while_any(
-                lambda item: item.is_running or item.is_idle
-            )
+        await self._wait_sessions_ended(
+            began_at + grace_s * FAILED_SESSION_GRACE_SHARE
+        )
+        await self._wait_statements_ended(
+            began_at + grace_s * STATEMENT_GRACE_SHARE
+        )
         with trio.move_on_after(CHECK_INTERVAL_S * 5):
             await self._membership.leave()
         self._node.pools.close_idle()
 
-    async def _wait_while_any(self, is_awaited):
-        """Wait while the condition holds for any session."""
-        while any(is_awaited(item) for item in self._sessions):
-            await trio.sleep(CHECK_INTERVAL_S)
+    async def _wait_sessions_ended(self, deadline):
+        with trio.move_on_at(deadline):
+            while self._sessions:
+                await trio.sleep(CHECK_INTERVAL_S)
+
+    async def _wait_statements_ended(self, deadline):
+        """Wait for running statements, until a time on trio's clock.
+
+        Sessions outside a transaction end once they have answered.
+        """
+        with trio.move_on_at(deadline):
+            while any(
+                item.is_running or item.is_idle for item in self._sessions
+            ):
+                await trio.sleep(CHECK_INTERVAL_S)
 
     async def _fail_transactions(self):
         """Fail all open transactions at once.
--- a/src/geraniumridge/_internal/proxy/primary_revocation.py
+++ b/src/geraniumridge/_internal/proxy/primary_revocation.py
@@ -101,7 +101,7 @@
         They were sent on the view before the failover was seen, and the VM
         that runs it waits no longer than such a view may be used.
         """
-        sent_on = self._node.view_age.last_confirmed_at
+        sent_on = self._node.view_age.previous_confirmed_at
         expires_at = sent_on + primary_resolver.MAX_UNCONFIRMED_AGE_S
         return max(0.0, min(STATEMENT_GRACE_S, expires_at - clock.now()))
 
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -30,7 +30,7 @@
 RETRY_DELAY_S = 0.2
 """Pause before the next attempt at a step that did not complete."""
 
-DEREGISTERED_QUERY_S = 30.0
+DEPARTED_TARGET_WAIT_S = 30.0
 """How long a target that is no longer registered is still queried, and
 waited for unless its commits are known to be elsewhere. It may only have
 lost its connection to the store, or start again with its log."""
@@ -368,7 +368,7 @@
         view = self._node.view
         addresses = {item.address for item in view.list_group(self._group)}
         recently_removed = view.list_recently_removed(
-            self._group, clock.now(), DEREGISTERED_QUERY_S
+            self._group, clock.now(), DEPARTED_TARGET_WAIT_S
         )
         return [
             item for item in recently_removed if item.address not in addresses
--- a/tests/unit/decisions/test_view_age.py
+++ b/tests/unit/decisions/test_view_age.py
@@ -30,4 +30,4 @@
     age.confirm(10.0)
     age.confirm(12.0)
     age.confirm(11.0)
-    assert age.last_confirmed_at == 10.0
+    assert age.previous_confirmed_at == 10.0
