--- a/tests/functional/test_proxy_path.py
+++ b/tests/functional/test_proxy_path.py
@@ -1,10 +1,12 @@
 """Statements through the proxy: sessions, transactions, refusals."""
 
+import math
 import socket
 import struct
 
 import trio
 
+from geraniumridge._internal.decisions import connection_share
 from geraniumridge._internal.proxy import daemon
 from geraniumridge._internal.proxy import pool
 from geraniumridge._internal.utils import clock
@@ -313,9 +315,11 @@
             assert primary.connections == len(callers)
             for number in range(1, 6):
                 await cluster.add_proxy(f"vm-{number}")
-            await proxies.wait_until(
-                lambda: primary.connections <= primary.max_connections / 6
+            kept_open = (
+                connection_share.KEEP_OPEN_SHARE * primary.max_connections
             )
+            share = math.ceil(kept_open / 6)
+            await proxies.wait_until(lambda: primary.connections <= share)
 
     trio.run(main)
 
