Keep the set of a group's targets in the store

Cause: what a VM knows of targets that left ends with its process.

Ruled out: asking the primary how many replicas acknowledge (its status does not say), and the number of instances in the configuration (it has none).

Change: each group has a record of its targets in the store, written under its revision by the VM that ranks first for the group, with those that left until no failover waits for them any more (30 s). A VM that reads a target there that is not registered treats it as one that has just left.

The test has changed: no VM had ever run before the replica left, so nobody could have known of it. Now one runs before and is stopped, the rest is as it was; it fails without the record. Rank among members is counted without sorting them.

--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -162,6 +162,11 @@
             and now - item.seen_at <= within_s
         ]
 
+    def get_target_set(self, group):
+        """Return a group's `fleet.TargetSet`, or None."""
+        entry = self._entries.get(fleet.make_targets_key(group))
+        return entry.record if entry else None
+
     def list_acknowledgements(self, group):
         """Return the acknowledgements of a group's failovers, by VM."""
         return self._acknowledgements.get(group, {})
@@ -273,6 +278,25 @@
         elif isinstance(record, fleet.Acknowledgement):
             group = fleet.parse_acknowledgement_group(item.key)
             self._acknowledgements.setdefault(group, {})[record.vm] = record
+        elif isinstance(record, fleet.TargetSet):
+            group = fleet.parse_targets_group(item.key)
+            self._note_departed_targets(now, group, record)
+
+    def _note_departed_targets(self, now, group, target_set):
+        """Record as removed the targets that left before this view began.
+
+        Those that are registered, or are read later from the same listing,
+        are no longer listed as removed.
+        """
+        for recorded in target_set.targets:
+            is_known = (
+                recorded.id in self._targets
+                or recorded.id in self._removed_targets
+            )
+            if not is_known:
+                self._removed_targets[recorded.id] = RemovedTarget(
+                    _make_departed_target(group, recorded), now
+                )
 
     def _discard_record(self, now, key, record):
         if isinstance(record, desired.Target):
@@ -311,3 +335,18 @@
         if self._outage_ended_at is None:
             return False
         return now - self._outage_ended_at < REREGISTRATION_GRACE_S
+
+
+def _make_departed_target(group, recorded):
+    """Return a target of which only identity and address are known."""
+    return desired.Target(
+        id=recorded.id,
+        group=group,
+        address=recorded.address,
+        domain=recorded.domain,
+        slots=1,
+        is_draining=True,
+        warmup_left_s=0.0,
+        role=desired.Role.REPLICA,
+        started_ms=0,
+    )
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -14,6 +14,7 @@
 MEMBERS_PREFIX = "geraniumridge/members/"
 ACKNOWLEDGEMENTS_PREFIX = "geraniumridge/releases/"
 """Prefix of the acknowledgements; the store keeps the older word."""
+TARGETS_PREFIX = "geraniumridge/targets/"
 
 
 class Lead(typing.NamedTuple):
@@ -58,6 +59,23 @@
     revision: int
 
 
+class RecordedTarget(typing.NamedTuple):
+    """Identity and address of a target, kept after it has left."""
+
+    id: str
+    address: str
+    domain: str
+
+
+class TargetSet(typing.NamedTuple):
+    """All targets of a group that may hold acknowledged commits.
+
+    A VM that starts learns from it of targets that left before.
+    """
+
+    targets: tuple[RecordedTarget, ...]
+
+
 def make_lead_key(group):
     """Return the store's key of a group's leadership record."""
     return f"{LEADS_PREFIX}{group}"
@@ -83,10 +101,21 @@
     return key.removeprefix(ACKNOWLEDGEMENTS_PREFIX).rpartition("/")[0]
 
 
+def make_targets_key(group):
+    """Return the store's key of a group's `TargetSet`."""
+    return f"{TARGETS_PREFIX}{group}"
+
+
+def parse_targets_group(key):
+    """Return the group that a `TargetSet`'s key belongs to."""
+    return key.removeprefix(TARGETS_PREFIX)
+
+
 RECORD_TYPES = {
     LEADS_PREFIX: Lead,
     MEMBERS_PREFIX: Member,
     ACKNOWLEDGEMENTS_PREFIX: Acknowledgement,
+    TARGETS_PREFIX: TargetSet,
 }
 """Type of the records under each key prefix."""
 
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -15,6 +15,7 @@
 from geraniumridge._internal.proxy import primary_revocation
 from geraniumridge._internal.proxy import quorum_exchange
 from geraniumridge._internal.proxy import session
+from geraniumridge._internal.proxy import target_recorder
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
 
@@ -77,6 +78,7 @@
         self._failover_monitor = failover.FailoverMonitor(
             node, store, promoter, self._view_exchange
         )
+        self._target_recorder = target_recorder.TargetRecorder(node, store)
         self._nursery = None
         self._applied_revision = 0
         node.limits = limits.Limits(node, self._peers)
@@ -102,6 +104,7 @@
         await self._peers.start(nursery)
         nursery.start_soon(self._follower.run)
         nursery.start_soon(self._membership.run)
+        nursery.start_soon(self._target_recorder.run)
         nursery.start_soon(self._run_checks)
         nursery.start_soon(self._close_unused_connections)
         nursery.start_soon(self._query_peers)
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -226,8 +226,9 @@
         return departures_delay_s + self._get_rank_delay_s(group)
 
     def _get_rank_delay_s(self, group):
-        ranked = rendezvous.rank_nodes(group, self._node.view.members)
-        rank = ranked.index(self._node.settings.vm.name)
+        rank = rendezvous.find_rank(
+            group, self._node.view.members, self._node.settings.vm.name
+        )
         return min(MAX_RANK_DELAY_S, rank * RANK_DELAY_S)
 
     def _find_reason(self, group, now):
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -6,6 +6,7 @@
 import trio
 
 from geraniumridge._internal.decisions import succession
+from geraniumridge._internal.decisions import target_sets
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
@@ -30,11 +31,6 @@
 RETRY_DELAY_S = 0.2
 """Pause before the next attempt at a step that did not complete."""
 
-DEPARTED_TARGET_WAIT_S = 30.0
-"""How long a target that is no longer registered is still queried, and
-waited for unless its commits are known to be elsewhere. It may only have
-lost its connection to the store, or start again with its log."""
-
 RESUME_ATTEMPTS = 10
 """Attempts to make replicas resume replication and a former primary step
 down."""
@@ -368,7 +364,7 @@
         view = self._node.view
         addresses = {item.address for item in view.list_group(self._group)}
         recently_removed = view.list_recently_removed(
-            self._group, clock.now(), DEPARTED_TARGET_WAIT_S
+            self._group, clock.now(), target_sets.DEPARTED_TARGET_WAIT_S
         )
         return [
             item for item in recently_removed if item.address not in addresses
--- a/src/geraniumridge/_internal/utils/rendezvous.py
+++ b/src/geraniumridge/_internal/utils/rendezvous.py
@@ -33,6 +33,16 @@
     return max(nodes, key=make_sort_key(key), default=None)
 
 
+def find_rank(key, nodes, node):
+    """Return a node's place in the order of a key, 0 for the owner.
+
+    A node that is not among the nodes ranks as if it were.
+    """
+    sort_key = make_sort_key(key)
+    own = sort_key(node)
+    return sum(sort_key(other) > own for other in nodes)
+
+
 def make_sort_key(key):
     """Return the function of a node that gives its weight for a key."""
     return lambda node: (_weight(node, key), node)
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -17,6 +17,7 @@
 """Upper bound on a failover, from the design requirements."""
 
 LEAD_KEY = fleet.make_lead_key("ledger")
+TARGETS_KEY = fleet.make_targets_key("ledger")
 
 
 async def wait_startup_delay(cluster):
@@ -143,6 +144,9 @@
     async def main():
         async with proxies.open_cluster() as cluster:
             instances = cluster.group.instances
+            former = await cluster.add_proxy()
+            await proxies.wait_until(lambda: cluster.store.get(TARGETS_KEY))
+            former.stop()
             instances["i-1"].ignores_replication = True
             await instances["i-0"].commit({"a": "1"})
             instances["i-2"].crash()
@@ -158,6 +162,24 @@
     trio.run(main)
 
 
+@run_in_cluster
+async def test_stored_set_of_targets_follows_a_replacement(cluster, proxy):
+    """A target that left stays in the set while failovers wait for it."""
+    await proxies.wait_until(lambda: cluster.store.get(TARGETS_KEY))
+    cluster.store.delete("servers/i-2")
+    replacement = cluster.group.add("i-9", proxies.find_address(), "west")
+    await replacement.start(cluster.nursery)
+    cluster.register(replacement)
+
+    def list_recorded():
+        recorded = cluster.store.get(TARGETS_KEY)["targets"]
+        return [item["id"] for item in recorded]
+
+    await proxies.wait_until(
+        lambda: list_recorded() == ["i-0", "i-1", "i-2", "i-9"]
+    )
+
+
 @run_in_cluster
 async def test_replica_that_returns_under_another_id_is_promoted(
     cluster, proxy
--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -241,6 +241,11 @@
             self.store_client,
             promotion_client.PromotionClient(settings.platform.duties),
         )
+        self._cancel_scope = trio.CancelScope()
+
+    def stop(self):
+        """End the proxy at once, as a loss of power does."""
+        self._cancel_scope.cancel()
 
     def disconnect_peers(self, others):
         """Drop all datagrams to and from other proxies."""
@@ -251,6 +256,10 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Run the proxy until the cluster stops."""
+        with self._cancel_scope:
+            await self._run(task_status)
+
+    async def _run(self, task_status):
         listen = self.settings.listen
         async with trio.open_nursery() as nursery:
             await self.proxy.start(nursery)
