Let each domain grant tokens while a team's limiter is silent

Cause: the limit of a team is a bucket at one VM. When the domain of that VM is cut off, or the VM fails, all others live on fallback rates a VM, which in a large fleet are below one token in many seconds, and on a reserve a VM whose burst is below one token from ten VMs on, so that it never gave any. Beside that each VM renewed its fallback rate for seconds after a token.

Ruled out: a limiter a team and domain with shares of the limit that an allocator moves by demand.

Change: the reserve and the fallback rate are kept by a standby a team and domain, another VM than the limiter. The reserve holds whole tokens, from the slack that the users allow (limit_slack in the settings). A fallback rate of 4 tokens a second and more applies after 0.3 s of silence, others after 0.9 s. The limiter also subtracts a rate whose renewals arrive while its answers are lost, which it did not. The holders of a team are looked up in an index that a change of members updates, instead of from all members.

--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -1,8 +1,13 @@
 """Rate limits of teams, enforced over all VMs.
 
-A share of each limit is split evenly and always available to each VM.
-The rest is a `LimiterBucket` at one VM, the team's limiter, which grants
-tokens with a short lifetime to the other VMs.
+Most of a limit is a `LimiterBucket` at one VM, the team's limiter, which
+grants tokens with a short lifetime to the others. The rest is split evenly
+between the failure domains and kept by the team's standby in each of them.
+
+Load pattern: a domain is cut off, or the limiter fails, and both sides go on
+taking statements. Each standby holds a fallback rate, which follows the
+demand of its domain. While the limiter does not answer it grants tokens at
+that rate, and the limiter subtracts the rate from its own.
 """
 
 import math
@@ -11,8 +16,8 @@
 from geraniumridge._internal.utils import rendezvous
 
 RESERVED_SHARE = 0.10
-"""Share of a limit that is split evenly between the VMs, so that they
-can serve some operations while the team's limiter is unreachable."""
+"""Share of a limit that is split evenly between the domains, so that each
+has tokens at once when the team's limiter is out of reach."""
 
 LIMITER_SHARE = 0.92
 """Share of a limit that the limiter grants. Limits may be exceeded by a
@@ -32,35 +37,55 @@
 
 MAX_FALLBACK_SHARE = 0.8
 """Largest share of the limiter's rate that the fallback rates of all
-requesters may add up to."""
+domains may add up to."""
 
-REQUESTER_WINDOW_S = 3.0
-"""Window over which a limiter averages the tokens granted to a VM."""
+DEMAND_WINDOW_S = 3.0
+"""Window over which a limiter averages the tokens granted to a domain."""
 
 FALLBACK_MARGIN = 1.5
-"""Fallback rate as a multiple of a VM's average rate, because operations
+"""Fallback rate as a multiple of a domain's average rate, because operations
 do not arrive evenly."""
 
-FALLBACK_DELAY_S = 0.5
-"""Time since the last token request after which the fallback rate
-applies, both at the requester and at the limiter."""
+MIN_FALLBACK_RATE_PER_S = 0.2
+"""Fallback rate below which a domain gets none and need not renew it."""
+
+FAST_FALLBACK_RATE_PER_S = 4.0
+"""Fallback rate from which the reserve is too small for the longer delay."""
+
+FALLBACK_DELAY_S = 0.9
+"""Time since the last renewal after which a fallback rate applies, both at
+the standby and at the limiter."""
+
+FAST_FALLBACK_DELAY_S = 0.3
+"""The same for a fallback rate of `FAST_FALLBACK_RATE_PER_S` or more."""
+
+RENEWALS_PER_DELAY = 3
+"""Renewals of a fallback rate within its delay; some may be lost."""
+
+IDLE_RENEW_INTERVAL_S = 2.0
+"""Interval at which a standby without a fallback rate asks for one."""
 
 FALLBACK_LIFETIME_S = 2.5
-"""How long the fallback rate applies at a VM that does not know whether
+"""How long the fallback rate applies at a standby that does not know whether
 the limiter is still registered. Together with `FALLBACK_DELAY_S` it ends
-about when the lease of a silent limiter ends and a successor begins."""
+before the lease of a silent limiter ends and a successor begins."""
 
 LONG_FALLBACK_LIFETIME_S = 12.0
-"""How long the fallback rate applies at a VM whose store view shows that
-the limiter is still registered."""
+"""How long the fallback rate applies at a standby whose store view shows
+that the limiter is still registered."""
 
 MAX_REGISTRATION_AGE_S = 2.2
 """Age up to which the store view shows that a limiter is registered. While
 the store answers, polls of it and queries to the domain's reader confirm
 the view more often."""
 
-DEPARTED_RETENTION_S = 10.0
-"""How long a departed VM still counts in the even split."""
+RESERVED_SLACK_SHARE = 0.4
+"""Part of the slack on a limit that the reserves of all domains may hold."""
+
+START_SLACK_SHARE = 0.1
+"""Part of the slack on a limit that the limiter, and the standbys of all
+domains together, each start with. Several may follow each other within a
+window."""
 
 
 class Allowance(typing.NamedTuple):
@@ -75,16 +100,20 @@
 
 
 class Bucket:
-    """Token bucket that starts empty, as others may have used its tokens.
+    """Token bucket that starts nearly empty.
+
+    Others may have used its tokens before.
 
     Parameters
     ----------
     now : float
         Clock time, in seconds.
+    level : float, optional
+        Tokens that it starts with.
     """
 
-    def __init__(self, now):
-        self._level = 0.0
+    def __init__(self, now, level=0.0):
+        self._level = level
         self._filled_at = now
 
     def take(self, allowance, wanted, now):
@@ -103,40 +132,55 @@
         return max(0.0, (1 - self._level) / allowance.rate)
 
 
-class Requester(typing.NamedTuple):
-    """A VM that requests tokens.
+class _Domain:
+    """What a limiter keeps of one domain.
 
-    `meter` averages the tokens granted to it, `fallback_rate` is in tokens
-    per second, `requested_at` the clock time of its last request, in
-    seconds.
+    `meter` averages the tokens granted to its VMs. `fallback_rate` is the
+    highest that its standby may have, in tokens per second, `renewed_at` the
+    clock time of the last renewal, in seconds. `is_in_use` is whether the
+    standby granted tokens at it when it sent that.
     """
 
-    meter: "RateMeter"
-    fallback_rate: float
-    requested_at: float
+    def __init__(self, now):
+        self.meter = RateMeter(now, DEMAND_WINDOW_S)
+        self.fallback_rate = 0.0
+        self.renewed_at = -math.inf
+        self.is_in_use = False
+
+    def get_rate_in_use(self, now):
+        """Return the fallback rate if the standby may use it now, else 0."""
+        age_s = now - self.renewed_at
+        delay_s = get_fallback_delay_s(self.fallback_rate)
+        if age_s > delay_s + LONG_FALLBACK_LIFETIME_S:
+            return 0.0
+        if age_s < delay_s and not self.is_in_use:
+            return 0.0
+        return self.fallback_rate
 
 
 class LimiterBucket:
     """Token bucket of a team at its limiter.
 
-    Each requester gets a fallback rate near its own average. When its
-    requests stop, it may have lost the connection to the limiter and serve
-    at the fallback rate, so the limiter subtracts that rate from its own.
+    The standby of each domain gets a fallback rate near the domain's average.
+    When it stops to renew the rate, it may have lost the connection to the
+    limiter and grant tokens at that rate, so the limiter subtracts it.
 
     Parameters
     ----------
     now : float
         Clock time, in seconds.
+    start_tokens : float, optional
+        Tokens that it starts with.
     """
 
-    def __init__(self, now):
-        self._bucket = Bucket(now)
-        self._requesters = {}
+    def __init__(self, now, start_tokens=0.0):
+        self._bucket = Bucket(now, start_tokens)
+        self._domains = {}
 
     def restart(self, now):
         """Empty the bucket, as this VM may not be the limiter for a while.
 
-        The fallback rates stay, since requesters may go on using them.
+        The fallback rates stay, since standbys may go on using them.
         """
         self._bucket = Bucket(now)
 
@@ -148,65 +192,178 @@
         """
         self._bucket.take(self._subtract_fallbacks(allowance, now), 0, now)
 
-    def grant(self, vm, allowance, wanted, now):
-        """Grant up to `wanted` tokens to a VM.
+    def grant(self, domain, allowance, wanted, now):
+        """Grant up to `wanted` tokens to a VM of a domain.
 
         Returns
         -------
-        tuple of int, float and float
-            Number of tokens, seconds until more are available, and the
-            VM's fallback rate in tokens per second.
+        tuple of int and float
+            Number of tokens, and seconds until more are available.
         """
         remaining = self._subtract_fallbacks(allowance, now)
         taken = self._bucket.take(remaining, wanted, now)
-        fallback_rate = self._update_fallback(vm, allowance, taken, now)
-        return taken, self._bucket.get_retry_s(remaining), fallback_rate
+        self._get_domain(domain, now).meter.note(now, taken)
+        return taken, self._bucket.get_retry_s(remaining)
+
+    def renew_fallback(self, domain, renewal, allowance, now):
+        """Return a domain's fallback rate, in tokens per second.
+
+        The answer may be lost, so the standby may also go on with the rate
+        that it has.
+        """
+        entry = self._get_domain(domain, now)
+        held = max(0.0, min(renewal.rate, allowance.rate))
+        granted = self._compute_fallback_rate(entry, allowance, now)
+        if renewal.is_in_use:
+            granted = min(granted, held)
+        entry.fallback_rate = max(granted, held)
+        entry.is_in_use = renewal.is_in_use
+        entry.renewed_at = now
+        return granted
+
+    def _compute_fallback_rate(self, entry, allowance, now):
+        other_fallback_rates = sum(
+            other.fallback_rate
+            for other in self._domains.values()
+            if other is not entry
+            and now - other.renewed_at
+            <= FALLBACK_DELAY_S + LONG_FALLBACK_LIFETIME_S
+        )
+        available = max(
+            0.0, MAX_FALLBACK_SHARE * allowance.rate - other_fallback_rates
+        )
+        rate = min(FALLBACK_MARGIN * entry.meter.note(now, 0), available)
+        return rate if rate >= MIN_FALLBACK_RATE_PER_S else 0.0
+
+    def _get_domain(self, domain, now):
+        entry = self._domains.get(domain)
+        if entry is None:
+            entry = self._domains[domain] = _Domain(now)
+        return entry
 
     def _subtract_fallbacks(self, allowance, now):
         total_fallback_rate = sum(
-            item.fallback_rate
-            for item in self._requesters.values()
-            if is_fallback_valid(
-                item.requested_at, now, LONG_FALLBACK_LIFETIME_S
-            )
+            entry.get_rate_in_use(now) for entry in self._domains.values()
         )
         return allowance._replace(
             rate=max(0.0, allowance.rate - total_fallback_rate)
         )
 
-    def _update_fallback(self, vm, allowance, taken, now):
-        self._expire_requesters(now)
-        previous = self._requesters.get(vm)
-        meter = (
-            previous.meter if previous else RateMeter(now, REQUESTER_WINDOW_S)
+
+class FallbackRenewal(typing.NamedTuple):
+    """Report of a standby that renews its fallback rate.
+
+    `rate` is the one that it has, in tokens per second, `is_in_use` whether
+    it grants tokens at that rate.
+    """
+
+    rate: float
+    is_in_use: bool
+
+
+class StandbyBucket:
+    """Tokens of a team that a domain's standby may grant.
+
+    Parameters
+    ----------
+    now : float
+        Clock time, in seconds.
+    start_tokens : float, optional
+        Tokens that it starts with.
+    """
+
+    def __init__(self, now, start_tokens=0.0):
+        self._reserve = Bucket(now, start_tokens)
+        self._fallback = Bucket(now)
+        self._fallback_rate = 0.0
+        self._renewed_at = -math.inf
+        self._reported_at = -math.inf
+        self._limiter = None
+
+    def fill(self, reserve_allowance, now):
+        """Add the tokens that the reserve gained since the last call."""
+        self._reserve.take(reserve_allowance, 0, now)
+
+    def make_due_renewal(self, limiter, has_recent_view, now):
+        """Return the `FallbackRenewal` to send now, or None.
+
+        Parameters
+        ----------
+        limiter : fleet.Member
+            The team's limiter by the store view.
+        has_recent_view : bool
+            Whether the view shows that the limiter is still registered.
+        now : float
+            Clock time, in seconds.
+        """
+        interval_s = get_fallback_delay_s(self._fallback_rate)
+        interval_s /= RENEWALS_PER_DELAY
+        is_new = limiter != self._limiter
+        if not is_new and self._fallback_rate == 0:
+            interval_s = IDLE_RENEW_INTERVAL_S
+        if now - self._reported_at < interval_s:
+            return None
+        self._reported_at = now
+        if is_new and has_recent_view:
+            return FallbackRenewal(0.0, False)
+        return FallbackRenewal(
+            self._fallback_rate, self._is_fallback_valid(has_recent_view, now)
         )
-        rate = meter.note(now, taken)
-        other_fallback_rates = sum(
-            item.fallback_rate
-            for name, item in self._requesters.items()
-            if name != vm
+
+    def note_renewal(self, rate, limiter, sent_at):
+        """Apply a limiter's answer to a renewal sent at a clock time."""
+        self._limiter = limiter
+        self._fallback_rate = rate
+        self._renewed_at = sent_at
+        self._fallback = Bucket(sent_at + get_fallback_delay_s(rate))
+
+    def take(self, reserve_allowance, wanted, limiter, has_recent_view, now):
+        """Take up to `wanted` tokens and return their number.
+
+        Parameters
+        ----------
+        reserve_allowance : Allowance
+            The domain's part of the reserved share.
+        wanted : int
+            Number of tokens.
+        limiter : fleet.Member or None
+            The team's limiter by the store view.
+        has_recent_view : bool
+            Whether the view shows that the limiter is still registered.
+        now : float
+            Clock time, in seconds.
+        """
+        taken = self._reserve.take(reserve_allowance, wanted, now)
+        if has_recent_view and limiter != self._limiter:
+            # The successor grants tokens by now.
+            return taken
+        if not self._is_fallback_valid(has_recent_view, now):
+            return taken
+        allowance = Allowance(
+            self._fallback_rate, max(1.0, self._fallback_rate)
         )
-        available = max(
-            0.0, MAX_FALLBACK_SHARE * allowance.rate - other_fallback_rates
+        return taken + self._fallback.take(allowance, wanted - taken, now)
+
+    def _is_fallback_valid(self, has_recent_view, now):
+        lifetime_s = (
+            LONG_FALLBACK_LIFETIME_S
+            if has_recent_view
+            else FALLBACK_LIFETIME_S
         )
-        fallback_rate = min(FALLBACK_MARGIN * rate, available)
-        self._requesters[vm] = Requester(meter, fallback_rate, now)
-        return fallback_rate
+        age_s = now - self._renewed_at
+        delay_s = get_fallback_delay_s(self._fallback_rate)
+        return delay_s <= age_s <= delay_s + lifetime_s
 
-    def _expire_requesters(self, now):
-        for vm, item in list(self._requesters.items()):
-            if (
-                now - item.requested_at
-                > FALLBACK_DELAY_S + LONG_FALLBACK_LIFETIME_S
-            ):
-                del self._requesters[vm]
 
+def get_fallback_delay_s(rate):
+    """Return the delay of a fallback rate, in seconds.
 
-def is_fallback_valid(requested_at, now, lifetime_s=FALLBACK_LIFETIME_S):
-    """Return whether the fallback rate of a token request applies now."""
-    return (
-        FALLBACK_DELAY_S <= now - requested_at <= FALLBACK_DELAY_S + lifetime_s
-    )
+    It does not grow with the rate: a limiter that subtracts a higher rate
+    than the standby has must not begin later.
+    """
+    if rate >= FAST_FALLBACK_RATE_PER_S:
+        return FAST_FALLBACK_DELAY_S
+    return FALLBACK_DELAY_S
 
 
 class LocalTokens:
@@ -262,22 +419,72 @@
 def find_limiter(team, members):
     """Return the `fleet.Member` that limits a team, or None.
 
-    Only stable members are limiters, so that none begins before its
-    predecessor has seen its registration. If fewer than half of the
-    members are stable, all of them are candidates, as there is no
-    predecessor to wait for.
+    Parameters
+    ----------
+    team : str
+        The team.
+    members : dict
+        Registered `fleet.Member` by VM.
+    """
+    owner = rendezvous.choose_node(
+        make_limiter_key(team), list_candidates(members.values())
+    )
+    return members.get(owner)
+
+
+def find_standby(team, domain, limiter, members):
+    """Return the `fleet.Member` that is a team's standby, or None.
+
+    It is another VM than the limiter, unless the domain has only that one.
 
     Parameters
     ----------
     team : str
         The team.
+    domain : str
+        The failure domain.
+    limiter : fleet.Member or None
+        The team's limiter.
     members : dict
         Registered `fleet.Member` by VM.
     """
-    stable = [vm for vm, member in members.items() if member.is_settled]
+    candidates = list_candidates(
+        member for member in members.values() if member.domain == domain
+    )
+    if limiter is not None and candidates != [limiter.vm]:
+        candidates = [vm for vm in candidates if vm != limiter.vm]
+    owner = rendezvous.choose_node(make_standby_key(team), candidates)
+    return members.get(owner)
+
+
+def make_limiter_key(team):
+    """Return the key by which the limiter of a team is chosen."""
+    return f"limiter/{team}"
+
+
+def make_standby_key(team):
+    """Return the key by which the standby of a team is chosen."""
+    return f"standby/{team}"
+
+
+def list_candidates(members):
+    """Return the names of the VMs that may be limiters or standbys.
+
+    Only stable members are candidates, so that none begins before its
+    predecessor has seen its registration. If fewer than half of the
+    members are stable, all of them are candidates, as there is no
+    predecessor to wait for.
+
+    Parameters
+    ----------
+    members : iterable of fleet.Member
+        Registered members.
+    """
+    members = list(members)
+    stable = [member.vm for member in members if member.is_settled]
     if 2 * len(stable) < len(members):
-        stable = list(members)
-    return members.get(rendezvous.choose_node(f"limiter/{team}", stable))
+        return [member.vm for member in members]
+    return stable
 
 
 def may_grant(age_s, lease_left_s):
@@ -300,6 +507,38 @@
     )
 
 
+def make_reserve(limit, slack, domain_count):
+    """Return the `Allowance` of one domain's reserve.
+
+    Parameters
+    ----------
+    limit : Allowance
+        The team's limit.
+    slack : float
+        Tokens by which it may be exceeded in each window.
+    domain_count : int
+        Number of failure domains.
+    """
+    part = limit.scale(RESERVED_SHARE / domain_count)
+    if limit.burst < 1:
+        return part
+    burst = part.burst + RESERVED_SLACK_SHARE * slack / domain_count
+    return Allowance(part.rate, max(1.0, burst))
+
+
+def get_start_tokens(slack, holder_count=1):
+    """Return the tokens that a new limiter or standby starts with.
+
+    Parameters
+    ----------
+    slack : float
+        Tokens by which a limit may be exceeded in each window.
+    holder_count : int
+        Number of those that divide the part of the slack.
+    """
+    return START_SLACK_SHARE * slack / max(1, holder_count)
+
+
 def count_prefetch_tokens(rate):
     """Return how many tokens to request in advance.
 
--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -56,12 +56,14 @@
     `stop_grace_s` is the time for a graceful stop, in seconds. A
     withdrawn key must stop working within `withdrawal_ms`, and a target
     that left must get no statements after `departure_ms`, both in
-    milliseconds.
+    milliseconds. `limit_slack` is the number of operations by which a
+    team's limit may be exceeded in a window.
     """
 
     stop_grace_s: settings.PositiveFloat = 6.0
     withdrawal_ms: settings.PositiveFloat = 5_000.0
     departure_ms: settings.PositiveFloat = 7_000.0
+    limit_slack: settings.NonNegativeFloat = 0.0
 
 
 class ProxySettings(typing.NamedTuple):
--- a/src/geraniumridge/_internal/models/settings.py
+++ b/src/geraniumridge/_internal/models/settings.py
@@ -17,6 +17,7 @@
 ]
 Address = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+$")]
 PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
+NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
 PositiveInt = typing.Annotated[int, msgspec.Meta(gt=0)]
 
 
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -26,12 +26,14 @@
 ANSWER_TYPES_BY_QUERY = {
     messages.TokenRequest: messages.TokenGrant,
     messages.ViewStatusQuery: messages.ViewStatusAnswer,
+    messages.StandbyRequest: messages.TokenGrant,
+    messages.FallbackRenewalRequest: messages.FallbackGrant,
 }
 """Messages that answer one query, identified by its number. A
 `ConfirmationAnswer` is passed to a handler, as its request goes to many
 VMs."""
 
-_ANSWER_TYPES = tuple(ANSWER_TYPES_BY_QUERY.values())
+_ANSWER_TYPES = tuple(set(ANSWER_TYPES_BY_QUERY.values()))
 
 _FACTORY = cybin.TCyBinaryProtocolFactory()
 # The index of a type is sent in datagrams, so the order must not change.
@@ -43,6 +45,9 @@
     messages.ViewStatusQuery,
     messages.ViewStatusAnswer,
     messages.ChangeNotification,
+    messages.StandbyRequest,
+    messages.FallbackRenewalRequest,
+    messages.FallbackGrant,
 )
 _TYPE_NUMBERS = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -1,16 +1,17 @@
 /** Datagrams between the proxies of a fleet. */
 
-/** Requests `wanted` tokens from the limiter of a team. */
+/** Requests `wanted` tokens from the limiter of a team. `domain` is the
+    failure domain of the VM that requests them. */
 struct TokenRequest {
   1: required i64 number
   2: required string team
   3: required i32 wanted
+  4: optional string domain = ""
 }
 
-/** Answers a token request. `is_owner` is false if the VM does not limit
-    the team; `retry_ms` is the delay before the next request. `pledge` is
-    the fallback rate, in thousandths of a token per second, that the
-    requester may use for a while if the limiter falls silent. */
+/** Answers a token or standby request. `is_owner` is false if the VM is not
+    the limiter or standby of the team; `retry_ms` is the delay before the
+    next request. `pledge` is 0; earlier versions read a rate in it. */
 struct TokenGrant {
   1: required i64 number
   2: required bool is_owner
@@ -54,3 +55,29 @@
 struct ChangeNotification {
   1: required string vm
 }
+
+/** Requests `wanted` tokens from the standby of a team in the domain. */
+struct StandbyRequest {
+  1: required i64 number
+  2: required string team
+  3: required i32 wanted
+}
+
+/** Asks the limiter of a team to renew the fallback rate of a domain.
+    `rate` is the one that the standby has, in thousandths of a token per
+    second, `is_in_use` whether it grants tokens at that rate. */
+struct FallbackRenewalRequest {
+  1: required i64 number
+  2: required string team
+  3: required string domain
+  4: required i32 rate
+  5: required bool is_in_use
+}
+
+/** Answers a renewal. `is_owner` is false if the VM does not limit the team;
+    `rate` is in thousandths of a token per second. */
+struct FallbackGrant {
+  1: required i64 number
+  2: required bool is_owner
+  3: required i32 rate
+}
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -108,6 +108,7 @@
         nursery.start_soon(self._run_checks)
         nursery.start_soon(self._close_unused_connections)
         nursery.start_soon(self._query_peers)
+        nursery.start_soon(self._renew_fallback_rates)
 
     async def open_session(self, database, key):
         """Return a new session and None, or None and the refusal."""
@@ -230,9 +231,13 @@
     async def _query_peers(self):
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
-            await self._node.limits.renew_fallback_rates()
             await self._quorum_exchange.request_confirmations()
 
+    async def _renew_fallback_rates(self):
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            await self._node.limits.renew_fallback_rates()
+
     def _apply_view_change(self):
         """Apply changes of the view.
 
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -175,7 +175,7 @@
 
     def _get_takeover_delay_s(self, group, lead):
         """Return how long the record of a failover may stay unchanged."""
-        if lead.holder == self._get_run_id():
+        if lead.holder == self._node.run_id:
             # This VM no longer runs it: its run ended early, or the store
             # applied its write although the answer was lost.
             return 0.0
@@ -184,9 +184,6 @@
             return delay_s + succession.TAKEOVER_AFTER_S
         return delay_s
 
-    def _get_run_id(self):
-        return f"{self._node.settings.vm.name}/{self._node.boot}"
-
     def _start(self, nursery, group, reason, pending_since=None):
         """Start a failover based on the current leadership record.
 
@@ -316,7 +313,7 @@
             known.term if known else 0,
             self._node.get_log_positions(group).term,
         )
-        lead = fleet.Lead(old, term, self._get_run_id(), True)
+        lead = fleet.Lead(old, term, self._node.run_id, True)
         write = store_port.Write(key, fleet.encode_record(lead))
         try:
             revision = await self._store.commit(
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/limit_directory.py
@@ -0,0 +1,98 @@
+"""The VMs that limit a team, by the store view."""
+
+import typing
+
+from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.models import fleet
+from geraniumridge._internal.utils import clock
+from geraniumridge._internal.utils import rendezvous
+
+
+class TeamHolders(typing.NamedTuple):
+    """The limiter of a team, and its standby in this VM's domain.
+
+    Each is None if there is no candidate.
+    """
+
+    limiter: fleet.Member | None
+    standby: fleet.Member | None
+
+
+class LimitDirectory:
+    """Limiters and standbys of all teams, cached until the members change.
+
+    Parameters
+    ----------
+    node : proxy.node.Node
+        State of the VM.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._limiters = rendezvous.OwnerIndex()
+        self._standbys = rendezvous.OwnerIndex()
+        self._holders = {}
+        self._version = None
+
+    def find(self, team):
+        """Return the `TeamHolders` of a team."""
+        view = self._node.view
+        if view.roster.change_count != self._version:
+            self._version = view.roster.change_count
+            self._update_members(view.members)
+        found = self._holders.get(team)
+        if found is None:
+            found = self._holders[team] = self._find_holders(team)
+        return found
+
+    def retain(self, teams):
+        """Forget all other teams than these."""
+        self._limiters.retain({rates.make_limiter_key(team) for team in teams})
+        self._standbys.retain({rates.make_standby_key(team) for team in teams})
+        self._holders.clear()
+
+    def _update_members(self, members):
+        self._holders.clear()
+        self._limiters.update(rates.list_candidates(members.values()))
+        domain = self._node.settings.vm.domain
+        self._standbys.update(
+            rates.list_candidates(
+                member
+                for member in members.values()
+                if member.domain == domain
+            )
+        )
+
+    def _find_holders(self, team):
+        members = self._node.view.members
+        limiter = members.get(
+            self._limiters.find(rates.make_limiter_key(team))
+        )
+        standby = members.get(
+            self._standbys.find(rates.make_standby_key(team))
+        )
+        if standby is not None and standby == limiter:
+            domain = self._node.settings.vm.domain
+            standby = rates.find_standby(team, domain, limiter, members)
+        return TeamHolders(limiter, standby)
+
+    def is_self(self, member):
+        """Return whether a member is this VM."""
+        return member is not None and member.vm == self._node.settings.vm.name
+
+    def may_grant(self, now):
+        """Return whether this VM may grant tokens.
+
+        It must be registered, and no successor may have begun.
+        """
+        node = self._node
+        if not node.primary_resolver.is_self_registered():
+            return False
+        age_s = node.view_age.get_age(now)
+        return rates.may_grant(age_s, node.lease_until - now)
+
+    def has_recent_view(self):
+        """Return whether the view shows which limiters are registered."""
+        return self._node.view_age.is_within(
+            clock.now(), rates.MAX_REGISTRATION_AGE_S
+        )
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/limiter.py
@@ -0,0 +1,143 @@
+"""The teams that this VM limits, and their answers to other VMs."""
+
+import logging
+
+from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.network import datagrams
+from geraniumridge._internal.utils import clock
+
+logger = logging.getLogger(__name__)
+
+MAX_RETRY_DELAY_MS = 1_000
+"""Longest delay that a limiter asks for."""
+
+FALLBACK_RATE_SCALE = 1_000
+"""Messages carry fallback rates in thousandths of a token per second."""
+
+MAX_ENCODED_RATE = 2**31 - 1
+"""Largest fallback rate in a message, which has 32 bits for it."""
+
+
+class Limiter:
+    """Token buckets of the teams that this VM limits.
+
+    Parameters
+    ----------
+    node : proxy.node.Node
+        State of the VM.
+    peers : network.datagrams.Peers
+        Datagrams to the other VMs.
+    directory : proxy.limit_directory.LimitDirectory
+        Finds the limiter of a team.
+    """
+
+    def __init__(self, node, peers, directory):
+        self._node = node
+        self._peers = peers
+        self._directory = directory
+        self._buckets = {}
+        messages = datagrams.messages
+        peers.handle(messages.TokenRequest, self._answer_token_request)
+        peers.handle(messages.FallbackRenewalRequest, self._answer_renewal)
+
+    def refresh(self, teams, now):
+        """Fill the buckets of the teams that this VM limits.
+
+        Buckets start nearly empty, so they are created before they are
+        needed.
+        """
+        for team in self._buckets.keys() - teams.keys():
+            del self._buckets[team]
+        may_grant = self._directory.may_grant(now)
+        for team, limit in teams.items():
+            if may_grant and self._is_limiter(team):
+                bucket = self._get_bucket(team, now)
+                bucket.fill(_get_allowance(limit), now)
+            elif team in self._buckets:
+                self._buckets[team].restart(now)
+
+    def grant(self, number, team, wanted, domain):
+        """Return the grant for a VM of a domain.
+
+        It has no tokens if another VM limits the team.
+        """
+        now = clock.now()
+        limit = self._find_limit(team, now)
+        if limit is None:
+            return make_grant(number, is_owner=False)
+        bucket = self._get_bucket(team, now)
+        tokens, retry_s = bucket.grant(
+            domain, _get_allowance(limit), wanted, now
+        )
+        return make_grant(number, tokens=tokens, retry_s=retry_s)
+
+    def renew_fallback(self, team, domain, renewal):
+        """Return a domain's fallback rate, None if another VM limits it."""
+        now = clock.now()
+        limit = self._find_limit(team, now)
+        if limit is None:
+            return None
+        bucket = self._get_bucket(team, now)
+        return bucket.renew_fallback(
+            domain, renewal, _get_allowance(limit), now
+        )
+
+    async def _answer_token_request(self, message, sender):
+        grant = self.grant(
+            message.number, message.team, message.wanted, message.domain
+        )
+        await self._peers.send(grant, sender)
+
+    async def _answer_renewal(self, message, sender):
+        renewal = rates.FallbackRenewal(
+            message.rate / FALLBACK_RATE_SCALE, message.is_in_use
+        )
+        rate = self.renew_fallback(message.team, message.domain, renewal)
+        answer = datagrams.messages.FallbackGrant(
+            number=message.number,
+            is_owner=rate is not None,
+            rate=encode_rate(rate or 0.0),
+        )
+        await self._peers.send(answer, sender)
+
+    def _find_limit(self, team, now):
+        """Return the team's limit if this VM may grant tokens of it."""
+        state = self._node.view.state
+        limit = state.teams.get(team) if state else None
+        if limit is None or not self._is_limiter(team):
+            return None
+        return limit if self._directory.may_grant(now) else None
+
+    def _is_limiter(self, team):
+        return self._directory.is_self(self._directory.find(team).limiter)
+
+    def _get_bucket(self, team, now):
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            slack = self._node.settings.bounds.limit_slack
+            start_tokens = rates.get_start_tokens(slack)
+            bucket = rates.LimiterBucket(now, start_tokens)
+            self._buckets[team] = bucket
+        return bucket
+
+
+def make_grant(number, is_owner=True, tokens=0, retry_s=0.0):
+    """Return the message that grants tokens."""
+    return datagrams.messages.TokenGrant(
+        number=number,
+        is_owner=is_owner,
+        tokens=tokens,
+        retry_ms=int(min(MAX_RETRY_DELAY_MS, retry_s * 1000)),
+        pledge=0,
+    )
+
+
+def encode_rate(rate):
+    """Return a rate in tokens per second as in messages."""
+    return min(MAX_ENCODED_RATE, int(rate * FALLBACK_RATE_SCALE))
+
+
+def _get_allowance(limit):
+    """Return the part of a team's limit that its limiter grants."""
+    allowance = rates.Allowance(limit.rate_per_s, limit.burst)
+    return allowance.scale(rates.LIMITER_SHARE)
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -69,6 +69,11 @@
         self._log_positions = {}
         self._primary_usages = {}
 
+    @property
+    def run_id(self):
+        """Identity of this run of the daemon, ``VM/boot``."""
+        return f"{self.settings.vm.name}/{self.boot}"
+
     def note_store_regained(self):
         """Wake the tasks that wait for the store to answer again."""
         self._store_regained.set()
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/standby.py
@@ -0,0 +1,127 @@
+"""Tokens that this VM grants in its domain while a limiter is silent."""
+
+from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.network import datagrams
+from geraniumridge._internal.proxy import limiter
+from geraniumridge._internal.utils import clock
+
+ANSWER_TIMEOUT_S = 0.05
+"""Timeout of a renewal; the limiter may be in another domain."""
+
+
+class Standby:
+    """Standby of the teams that fall to this VM in its domain.
+
+    Parameters
+    ----------
+    node : proxy.node.Node
+        State of the VM.
+    peers : network.datagrams.Peers
+        Datagrams to the other VMs.
+    directory : proxy.limit_directory.LimitDirectory
+        Finds the limiter and the standby of a team.
+    own_limiter : proxy.limiter.Limiter
+        The teams that this VM limits itself.
+    """
+
+    def __init__(self, node, peers, directory, own_limiter):
+        self._node = node
+        self._peers = peers
+        self._directory = directory
+        self._own_limiter = own_limiter
+        self._buckets = {}
+        peers.handle(datagrams.messages.StandbyRequest, self._answer_request)
+
+    def refresh(self, teams, now):
+        """Fill the reserves of the teams whose standby this VM is."""
+        may_grant = self._directory.may_grant(now)
+        own_teams = {
+            team: limit
+            for team, limit in teams.items()
+            if may_grant and self._is_standby(team)
+        }
+        for team in self._buckets.keys() - own_teams.keys():
+            del self._buckets[team]
+        for team, limit in own_teams.items():
+            self._get_bucket(team, now).fill(self._get_reserve(limit), now)
+
+    async def renew_due(self):
+        """Renew the fallback rates that are due; called periodically."""
+        for team, bucket in list(self._buckets.items()):
+            member = self._directory.find(team).limiter
+            if member is None:
+                continue
+            renewal = bucket.make_due_renewal(
+                member, self._directory.has_recent_view(), clock.now()
+            )
+            if renewal is not None:
+                await self._renew(team, bucket, member, renewal)
+
+    def grant(self, number, team, wanted):
+        """Return the grant for a VM of the domain."""
+        now = clock.now()
+        state = self._node.view.state
+        limit = state.teams.get(team) if state else None
+        may_grant = (
+            limit is not None
+            and self._is_standby(team)
+            and self._directory.may_grant(now)
+        )
+        if not may_grant:
+            return limiter.make_grant(number, is_owner=False)
+        tokens = self._get_bucket(team, now).take(
+            self._get_reserve(limit),
+            wanted,
+            self._directory.find(team).limiter,
+            self._directory.has_recent_view(),
+            now,
+        )
+        return limiter.make_grant(number, tokens=tokens)
+
+    async def _renew(self, team, bucket, member, renewal):
+        sent_at = clock.now()
+        domain = self._node.settings.vm.domain
+        if self._directory.is_self(member):
+            rate = self._own_limiter.renew_fallback(team, domain, renewal)
+            if rate is not None:
+                bucket.note_renewal(rate, member, sent_at)
+            return
+        request = datagrams.messages.FallbackRenewalRequest(
+            team=team,
+            domain=domain,
+            rate=limiter.encode_rate(renewal.rate),
+            is_in_use=renewal.is_in_use,
+        )
+        answer = await self._peers.query(request, member, ANSWER_TIMEOUT_S)
+        if answer is not None and answer.is_owner:
+            rate = max(0.0, answer.rate / limiter.FALLBACK_RATE_SCALE)
+            bucket.note_renewal(rate, member, sent_at)
+
+    async def _answer_request(self, message, sender):
+        grant = self.grant(message.number, message.team, message.wanted)
+        await self._peers.send(grant, sender)
+
+    def _is_standby(self, team):
+        return self._directory.is_self(self._directory.find(team).standby)
+
+    def _get_bucket(self, team, now):
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            start_tokens = rates.get_start_tokens(
+                self._node.settings.bounds.limit_slack, self._count_domains()
+            )
+            bucket = rates.StandbyBucket(now, start_tokens)
+            self._buckets[team] = bucket
+        return bucket
+
+    def _get_reserve(self, limit):
+        """Return this domain's reserve of a limit."""
+        return rates.make_reserve(
+            rates.Allowance(limit.rate_per_s, limit.burst),
+            self._node.settings.bounds.limit_slack,
+            self._count_domains(),
+        )
+
+    def _count_domains(self):
+        settings = self._node.settings
+        return len({settings.vm.domain, *settings.regions})
--- a/src/geraniumridge/_internal/utils/rendezvous.py
+++ b/src/geraniumridge/_internal/utils/rendezvous.py
@@ -46,3 +46,34 @@
 def make_sort_key(key):
     """Return the function of a node that gives its weight for a key."""
     return lambda node: (_weight(node, key), node)
+
+
+class OwnerIndex:
+    """Owners of keys among nodes that change a few at a time."""
+
+    def __init__(self):
+        self._nodes = frozenset()
+        self._owners = {}
+
+    def update(self, nodes):
+        """Set the nodes; only the owners that a change concerns change."""
+        nodes = frozenset(nodes)
+        added = nodes - self._nodes
+        removed = self._nodes - nodes
+        self._nodes = nodes
+        for key, owner in list(self._owners.items()):
+            if owner is None or owner in removed:
+                del self._owners[key]
+            elif added:
+                self._owners[key] = choose_node(key, [owner, *added])
+
+    def find(self, key):
+        """Return the owner of a key, or None without nodes."""
+        if key not in self._owners:
+            self._owners[key] = choose_node(key, self._nodes)
+        return self._owners[key]
+
+    def retain(self, keys):
+        """Forget the owners of all other keys than these."""
+        for key in self._owners.keys() - keys:
+            del self._owners[key]
--- a/tests/functional/test_proxy_partition.py
+++ b/tests/functional/test_proxy_partition.py
@@ -1,4 +1,4 @@
-"""Consistency of reads while a failure domain is cut off.
+"""Reads and rate limits while a failure domain is cut off.
 
 The old primary keeps running in the isolated domain and serves the VM
 there while the other VMs replace it. At no time may a read of the primary,
@@ -149,6 +149,71 @@
     trio.run(main)
 
 
+TEAM_NAMES = [f"team-{number}" for number in range(12)]
+TEAM_RATE_PER_S = 24.0
+DEMAND_SHARE = 1 / 1.6
+"""Demand of each team as a part of its limit."""
+
+GRANT_PERIOD_S = 2.5
+"""Time after a cut in which the limiters' store views are recent enough."""
+
+
+class TokenCounter:
+    """Counts the operations of all teams that a limit refuses."""
+
+    def __init__(self):
+        self.taken = 0
+        self.refused = []
+
+    async def run(self, proxy, team, interval_s):
+        """Take tokens of a team at a VM at an even rate until cancelled."""
+        while True:
+            await trio.sleep(interval_s)
+            if await proxy.node.limits.take(team):
+                self.taken += 1
+            else:
+                self.refused.append((proxy.settings.vm.name, team.name))
+
+
+def test_teams_within_their_limits_get_tokens_while_a_domain_is_cut_off():
+    """Neither side needs a limiter in another domain."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            tenants = [
+                {
+                    "name": name,
+                    "apiKeys": [f"key-{name}"],
+                    "ratePerS": TEAM_RATE_PER_S,
+                    "burst": TEAM_RATE_PER_S,
+                }
+                for name in TEAM_NAMES
+            ]
+            config = proxies.make_config(tenants=tenants)
+            cluster.store.put("op/config", config)
+            members = [
+                await cluster.add_proxy(f"vm-{number}", domain)
+                for number, domain in enumerate(proxies.DOMAINS)
+            ]
+            interval_s = len(members) / (TEAM_RATE_PER_S * DEMAND_SHARE)
+            counter = TokenCounter()
+            async with trio.open_nursery() as nursery:
+                for proxy in members:
+                    for team in proxy.node.view.state.teams.values():
+                        nursery.start_soon(
+                            counter.run, proxy, team, interval_s
+                        )
+                await trio.sleep(rates.STABLE_AFTER_S + 3.0)
+                DomainPartition(cluster, members).begin()
+                counter.refused.clear()
+                await trio.sleep(GRANT_PERIOD_S)
+                nursery.cancel_scope.cancel()
+            assert counter.refused == []
+            assert counter.taken > 0
+
+    trio.run(main)
+
+
 async def check_acknowledged_items(cluster, members, checker):
     """Check that every acknowledged item is readable at each VM."""
     for proxy in members:
--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -143,6 +143,7 @@
             platform=proxy_settings.PlatformSettings(
                 self._store_address, self._promotion_server_address
             ),
+            bounds=proxy_settings.BoundSettings(limit_slack=20.0),
             regions={domain: "east" for domain in DOMAINS},
         )
 
--- a/tests/unit/models/test_proxy_settings.py
+++ b/tests/unit/models/test_proxy_settings.py
@@ -73,6 +73,9 @@
         "bounds.revokeMs": "5000",
         "platform.ttlMinMs": "1000",
         "bounds.drainMs": "7000",
+        "bounds.quotaSlack": "20",
+        "#bounds.quotaSlack": "",
+        "/bounds.quotaSlack": "",
         "#zones": "",
         "/zones": "",
         "@": "north",
@@ -86,3 +89,4 @@
     found = load(tmp_path, text)
     assert found.regions == {"north": "east"}
     assert found.bounds.withdrawal_ms == 5000
+    assert found.bounds.limit_slack == 20
--- a/tests/unit/proxy/test_datagram_handlers.py
+++ b/tests/unit/proxy/test_datagram_handlers.py
@@ -32,7 +32,28 @@
 names = st.one_of(st.just("team"), st.text(max_size=20))
 any_message = st.one_of(
     st.builds(
-        messages.TokenRequest, number=numbers, team=names, wanted=counts
+        messages.TokenRequest,
+        number=numbers,
+        team=names,
+        wanted=counts,
+        domain=names,
+    ),
+    st.builds(
+        messages.StandbyRequest, number=numbers, team=names, wanted=counts
+    ),
+    st.builds(
+        messages.FallbackRenewalRequest,
+        number=numbers,
+        team=names,
+        domain=names,
+        rate=counts,
+        is_in_use=st.booleans(),
+    ),
+    st.builds(
+        messages.FallbackGrant,
+        number=numbers,
+        is_owner=st.booleans(),
+        rate=counts,
     ),
     st.builds(
         messages.TokenGrant,
@@ -92,7 +113,7 @@
     age.confirm(now)
     node = types.SimpleNamespace(
         view=types.SimpleNamespace(
-            state=types.SimpleNamespace(teams={"team": team}),
+            state=types.SimpleNamespace(version=1, teams={"team": team}),
             members=store_view.members,
             roster=store_view.roster,
             list_groups_with_newer_lead=(
@@ -107,7 +128,9 @@
             is_self_registered=lambda: True
         ),
         settings=types.SimpleNamespace(
-            vm=types.SimpleNamespace(name="vm-1", domain="north")
+            vm=types.SimpleNamespace(name="vm-1", domain="north"),
+            bounds=types.SimpleNamespace(limit_slack=20.0),
+            regions={"north": "east"},
         ),
     )
     peers = EncodingPeers()
@@ -129,15 +152,22 @@
     trio.run(dispatch_all)
 
 
-def test_grant_of_a_very_large_limit_can_be_encoded():
-    """The fallback rate is sent in thousandths, in 32 bits."""
+def test_fallback_rate_of_a_very_large_limit_can_be_encoded():
+    """The rate is sent in thousandths, in 32 bits."""
     peers = make_peers()
-    request = messages.TokenRequest(number=1, team="team", wanted=MAX_I32)
+    token_request = messages.TokenRequest(
+        number=1, team="team", wanted=MAX_I32, domain="north"
+    )
+    renewal = messages.FallbackRenewalRequest(
+        number=2, team="team", domain="north", rate=0, is_in_use=False
+    )
 
     async def request_tokens():
         for _ in range(20):
             await trio.sleep(0.01)
-            await peers.dispatch(request, SENDER)
+            await peers.dispatch(token_request, SENDER)
+        await peers.dispatch(renewal, SENDER)
 
     trio.run(request_tokens)
-    assert peers.sent[-1].tokens > 0
+    assert peers.sent[-2].tokens > 0
+    assert peers.sent[-1].rate == MAX_I32
--- a/tests/unit/proxy/test_limits.py
+++ b/tests/unit/proxy/test_limits.py
@@ -1,126 +1,120 @@
-"""Choice of the VM that limits a team as the members change."""
+"""Tokens of a VM while its limiter grants none or is silent."""
 
 import types
 
+import pytest
 import trio
 
 from geraniumridge._internal.decisions import rates
 from geraniumridge._internal.decisions import view
-from geraniumridge._internal.decisions import view_age
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.ports import store
+from geraniumridge._internal.proxy import limiter as limiter_module
 from geraniumridge._internal.proxy import limits
-from geraniumridge._internal.utils import clock
 from lib import fleets
 
-
-class FakePeers:
-    """Accepts handlers and never calls them."""
-
-    def handle(self, kind, handler):
-        """Ignore a handler."""
-
-
-def make_limits(store_view):
-    return limits.Limits(types.SimpleNamespace(view=store_view), FakePeers())
-
-
-def put(store_view, revision, vm, is_settled):
-    member = fleets.make_member(vm)._replace(is_settled=is_settled)
-    item = store.Item(fleet.make_member_key(vm), member, revision)
-    store_view.apply(0.0, store.Changes((item,), revision))
-
-
-def remove(store_view, revision, vm):
-    item = store.Item(fleet.make_member_key(vm), None, revision)
-    store_view.apply(0.0, store.Changes((item,), revision))
+messages = datagrams.messages
 
 
-def test_limiter_is_updated_on_every_membership_change():
-    store_view = view.View(lambda key, value: value)
-    team_limits = make_limits(store_view)
-    assert team_limits._find_limiter("team") is None
-    changes = [
-        lambda: put(store_view, 1, "a", True),
-        lambda: put(store_view, 2, "b", True),
-        lambda: put(store_view, 3, "c", False),
-        lambda: put(store_view, 4, "c", True),
-        lambda: remove(store_view, 5, "a"),
-        lambda: remove(store_view, 6, "c"),
-    ]
-    teams = [f"team-{number}" for number in range(20)]
-    for change in changes:
-        change()
-        for team in teams:
-            expected = rates.find_limiter(team, store_view.members)
-            assert team_limits._find_limiter(team) == expected
-
+class FakePeers:
+    """Answers as a limiter and a standby, and counts their queries.
 
-class FakeLimiter(FakePeers):
-    """Grants what is requested while it is the limiter."""
+    `limiter_answer` and `standby_answer` are the answers, None for none.
+    """
 
     def __init__(self):
-        self.is_owner = True
+        self.limiter_answer = None
+        self.standby_answer = None
+        self.queries = []
+
+    def handle(self, kind, handler):
+        """Ignore a handler."""
 
     async def query(self, query, member, timeout_s):
-        """Return a grant with a fallback rate of 50 tokens a second."""
-        return datagrams.messages.TokenGrant(
-            number=1,
-            is_owner=self.is_owner,
-            tokens=query.wanted if self.is_owner else 0,
-            retry_ms=0,
-            pledge=50 * limits.FALLBACK_RATE_SCALE if self.is_owner else 0,
-        )
+        """Return the answer of the limiter or the standby."""
+        self.queries.append(type(query))
+        if isinstance(query, messages.StandbyRequest):
+            return self.standby_answer
+        return self.limiter_answer
 
 
 class LimitsFixture:
-    """Limits of a VM whose teams another VM limits."""
+    """Limits of a VM whose teams other VMs limit and stand by for."""
 
     def __init__(self):
         self.view = view.View(lambda key, value: value)
-        put(self.view, 1, "limiter", True)
-        age = view_age.ViewAge()
-        age.confirm(clock.now() + 60)
-        vm = types.SimpleNamespace(name="vm-1")
+        for revision, (vm, domain) in enumerate(
+            [("limiter", "south"), ("standby", "north")], 1
+        ):
+            member = fleets.make_member(vm)._replace(
+                is_settled=True, domain=domain
+            )
+            item = store.Item(fleet.make_member_key(vm), member, revision)
+            self.view.apply(0.0, store.Changes((item,), revision))
+        vm = types.SimpleNamespace(name="vm-1", domain="north")
         node = types.SimpleNamespace(
-            view=self.view,
-            view_age=age,
-            settings=types.SimpleNamespace(vm=vm),
+            view=self.view, settings=types.SimpleNamespace(vm=vm)
         )
-        self.limiter = FakeLimiter()
-        self.limits = limits.Limits(node, self.limiter)
-        self.team = (
-            fleets.make_state()
-            .teams["team"]
-            ._replace(rate_per_s=0.01, burst=0.01)
+        self.peers = FakePeers()
+        self.limits = limits.Limits(node, self.peers)
+        names = [f"team-{number}" for number in range(50)]
+        self.team = next(
+            fleets.make_state().teams["team"]._replace(name=name)
+            for name in names
+            if rates.find_limiter(name, self.view.members).vm == "limiter"
         )
 
-    async def take_until_fallback(self):
-        """Take one granted token, then wait until the fallback applies."""
-        assert await self.limits.take(self.team)
-        await trio.sleep(rates.FALLBACK_DELAY_S + 0.1)
+    async def take(self):
+        """Take a token of the team."""
+        return await self.limits.take(self.team)
 
 
-def test_limiter_that_lost_the_store_leaves_the_fallback_rate():
-    async def main():
-        fixture = LimitsFixture()
-        await fixture.take_until_fallback()
-        fixture.limiter.is_owner = False
-        state = fixture.limits._get_team_state("team", clock.now())
-        await fixture.limits._request_grant("team", state, 1, clock.now())
-        assert await fixture.limits.take(fixture.team)
+def run(test):
+    trio.run(test, LimitsFixture())
 
-    trio.run(main)
 
+def test_limiter_that_grants_is_enough():
+    async def test(fixture):
+        fixture.peers.limiter_answer = limiter_module.make_grant(1, tokens=1)
+        assert await fixture.take()
+        assert fixture.peers.queries == [messages.TokenRequest]
 
-def test_fallback_rate_ends_when_a_successor_is_known():
-    async def main():
-        fixture = LimitsFixture()
-        await fixture.take_until_fallback()
-        remove(fixture.view, 2, "limiter")
-        put(fixture.view, 3, "successor", True)
-        fixture.limiter.is_owner = False
-        assert not await fixture.limits.take(fixture.team)
+    run(test)
 
-    trio.run(main)
+
+@pytest.mark.parametrize(
+    "limiter_answer",
+    [
+        None,
+        limiter_module.make_grant(1, is_owner=False),
+        limiter_module.make_grant(1, tokens=0, retry_s=0.5),
+    ],
+)
+def test_standby_is_asked_when_the_limiter_grants_nothing(limiter_answer):
+    async def test(fixture):
+        fixture.peers.limiter_answer = limiter_answer
+        fixture.peers.standby_answer = limiter_module.make_grant(1, tokens=1)
+        assert await fixture.take()
+        assert await fixture.take()
+        # The limiter is left alone until it may have tokens again.
+        assert fixture.peers.queries[-2:] == [messages.StandbyRequest] * 2
+
+    run(test)
+
+
+def test_nobody_is_asked_for_a_while_when_both_grant_nothing():
+    async def test(fixture):
+        fixture.peers.limiter_answer = limiter_module.make_grant(
+            1, tokens=0, retry_s=0.5
+        )
+        fixture.peers.standby_answer = limiter_module.make_grant(1, tokens=0)
+        assert not await fixture.take()
+        asked = len(fixture.peers.queries)
+        assert not await fixture.take()
+        assert len(fixture.peers.queries) == asked
+        await trio.sleep(limits.STANDBY_RETRY_DELAY_S)
+        fixture.peers.standby_answer = limiter_module.make_grant(1, tokens=1)
+        assert await fixture.take()
+
+    run(test)
