Pass changes of the store on within a domain

Cause: the domain's reader tells its neighbours that something has changed, and each of them then reads the store.

Ruled out: reading less often (the bounds of freshness stay), and passing only the newest value of each key (a member that joins and leaves in between would go unnoticed, and a failover waits for those that left).

Change: the answer to a query for the reader's view carries the changes since the asker's revision, compressed, in parts of 8 KiB. A VM keeps the changes of the last 10 s, at most 1 MiB. It reads the store only if its reader does not answer, is too old, or lacks changes.

Tests: order, parts of one batch while another change comes and a part is lost, unknown changes, undecodable batches; the follower makes no read for changes that the reader has.

--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from geraniumridge._internal.decisions import change_log
 from geraniumridge._internal.decisions import roster
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
@@ -61,6 +62,7 @@
         self._groups = {}
         self._evacuated = set()
         self._roster = roster.Roster()
+        self._change_log = change_log.ChangeLog()
         self._lead_revisions = {}
         self._acknowledgements = {}
         self._expiry_deadlines = {}
@@ -73,6 +75,11 @@
         """Revision of the store that the view has reached."""
         return self._revision
 
+    @property
+    def change_log(self):
+        """The `change_log.ChangeLog` that leads up to `revision`."""
+        return self._change_log
+
     @property
     def last_change_revision(self):
         """Revision of the last change up to `revision`.
@@ -212,6 +219,7 @@
         self._revision = listing.revision
         self._last_change_revision = listing.revision
         self._roster.note_listing(now)
+        self._change_log.restart(listing.revision)
         return True
 
     def apply(self, now, changes):
@@ -220,10 +228,12 @@
         Earlier ones, of an answer that another one has overtaken, are
         ignored: the view no longer knows the keys deleted since.
         """
-        newer = [
-            item for item in changes.items if item.revision > self._revision
-        ]
-        for item in sorted(newer, key=lambda item: item.revision):
+        newer = sorted(
+            (item for item in changes.items if item.revision > self._revision),
+            key=lambda item: item.revision,
+        )
+        self._change_log.add(now, newer)
+        for item in newer:
             self._apply_item(now, item)
             self._last_change_revision = max(
                 self._last_change_revision, item.revision
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -20,12 +20,12 @@
     module_name="geraniumridge_peers_thrift",
 )
 
-MAX_DATAGRAM_BYTES = 2_048
+MAX_DATAGRAM_BYTES = 16_384
 """Size of the receive buffer; longer datagrams are truncated."""
 
 ANSWER_TYPES_BY_QUERY = {
     messages.TokenRequest: messages.TokenGrant,
-    messages.ViewStatusQuery: messages.ViewStatusAnswer,
+    messages.ChangesQuery: messages.ChangesAnswer,
     messages.StandbyRequest: messages.TokenGrant,
     messages.FallbackRenewalRequest: messages.FallbackGrant,
 }
@@ -35,15 +35,15 @@
 
 _ANSWER_TYPES = tuple(set(ANSWER_TYPES_BY_QUERY.values()))
 
-_FACTORY = cybin.TCyBinaryProtocolFactory()
+FACTORY = cybin.TCyBinaryProtocolFactory()
 # The index of a type is sent in datagrams, so the order must not change.
 _MESSAGE_TYPES = (
     messages.TokenRequest,
     messages.TokenGrant,
     messages.ConfirmationRequest,
     messages.ConfirmationAnswer,
-    messages.ViewStatusQuery,
-    messages.ViewStatusAnswer,
+    messages.ChangesQuery,
+    messages.ChangesAnswer,
     messages.ChangeNotification,
     messages.StandbyRequest,
     messages.FallbackRenewalRequest,
@@ -57,7 +57,7 @@
 def encode(message):
     """Return a message as a datagram: the number of its type, its fields."""
     return bytes([_TYPE_NUMBERS[type(message)]]) + utils.serialize(
-        message, _FACTORY
+        message, FACTORY
     )
 
 
@@ -74,7 +74,7 @@
         message = _MESSAGE_TYPES[data[0]]()
         fields = data[1:]
         thrift_check.check_struct(fields)
-        utils.deserialize(message, fields, _FACTORY)
+        utils.deserialize(message, fields, FACTORY)
     except Exception as error:
         raise exceptions.ProtocolError(f"datagram: {error!r}")
     if None in vars(message).values():
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -37,17 +37,39 @@
   4: required bool is_whole
 }
 
-/** Asks a VM how current its view of the store is. */
-struct ViewStatusQuery {
+/** Asks a VM for the changes of the store after a revision, and how current
+    its view is. `last_revision` and `offset` are 0 in the first query. Further
+    ones ask for the rest of the batch that leads up to `last_revision`. */
+struct ChangesQuery {
   1: required i64 number
+  2: required i64 revision
+  3: required i64 last_revision
+  4: required i32 offset
 }
 
-/** Answers a view status query. The view of the VM that answers is at most
-    `age_ms` old; `changed` is the revision of the last change in it. */
-struct ViewStatusAnswer {
+/** Answers a query for changes with a part of a batch of `total` bytes. It
+    leads up to `revision`, and the view of the VM that answers is at most
+    `age_ms` old. `total` is negative if the VM does not have the changes, and
+    0 if there are none. */
+struct ChangesAnswer {
   1: required i64 number
-  2: required i64 changed
+  2: required i64 revision
   3: required i64 age_ms
+  4: required i32 total
+  5: required binary data
+}
+
+/** One change of the store; a deleted key has no value. */
+struct ChangedItem {
+  1: required string key
+  2: required i64 revision
+  3: required bool is_deleted
+  4: required binary value
+}
+
+/** Changes of the store in the order of their revisions. */
+struct ChangeBatch {
+  1: required list<ChangedItem> items
 }
 
 /** Notifies a VM that the store has changed and should be read. `vm` is
--- a/src/geraniumridge/_internal/proxy/follower.py
+++ b/src/geraniumridge/_internal/proxy/follower.py
@@ -1,9 +1,8 @@
 """Updates of the store view and its age.
 
 One VM of each failure domain, the reader, polls the store often and
-watches it for changes. The others query the reader whether anything has
-changed, and read the store only then or if the reader's answers are
-missing or too old.
+watches it for changes. The others get the changes from the reader, and read
+the store only if its answers are missing, incomplete or too old.
 """
 
 import logging
@@ -135,15 +134,16 @@
         return self._readers.find_reader(self._node.view.members, clock.now())
 
     async def _query_reader(self, reader):
-        """Query the reader whether this VM's view is up to date."""
+        """Get the changes since this VM's view from the reader."""
         sent_at = clock.now()
         status = await self._view_exchange.query(reader)
         if status is None or status.age_s > MAX_READER_VIEW_AGE_S:
             self._readers.avoid(reader.vm, clock.now())
             return 0.0
-        if status.last_change_revision > self._node.view.revision:
+        if status.changes is None:
             return await self._read_changes()
         self._note_store_answer()
+        self._node.view.apply(clock.now(), status.changes)
         # The reader measured the age after the query was sent, so the view
         # is at least as recent as this.
         self._confirm_view(sent_at - status.age_s)
--- a/tests/unit/network/test_datagrams.py
+++ b/tests/unit/network/test_datagrams.py
@@ -12,19 +12,29 @@
 from geraniumridge._internal.network import datagrams
 from lib import fleets
 
-ViewStatusQuery = datagrams.messages.ViewStatusQuery
+ChangesQuery = datagrams.messages.ChangesQuery
 ConfirmationRequest = datagrams.messages.ConfirmationRequest
 TokenRequest = datagrams.messages.TokenRequest
 TokenGrant = datagrams.messages.TokenGrant
-ViewStatusAnswer = datagrams.messages.ViewStatusAnswer
+ChangesAnswer = datagrams.messages.ChangesAnswer
 ConfirmationAnswer = datagrams.messages.ConfirmationAnswer
 
+CHANGES_QUERY = ChangesQuery(number=1, revision=5, last_revision=0, offset=0)
+CHANGES_ANSWER = ChangesAnswer(
+    number=1, revision=7, age_ms=120, total=4, data=b"\xff\x00\x01\xfe"
+)
+
 MESSAGES = [
-    TokenRequest(number=1, team="team", wanted=3),
+    TokenRequest(number=1, team="team", wanted=3, domain="north"),
     TokenGrant(number=1, is_owner=True, tokens=2, retry_ms=0, pledge=9),
     ConfirmationRequest(number=1, revision=7),
-    ViewStatusQuery(number=1),
-    ViewStatusAnswer(number=1, changed=7, age_ms=120),
+    CHANGES_QUERY,
+    CHANGES_ANSWER,
+    datagrams.messages.StandbyRequest(number=1, team="team", wanted=3),
+    datagrams.messages.FallbackRenewalRequest(
+        number=1, team="team", domain="north", rate=5, is_in_use=True
+    ),
+    datagrams.messages.FallbackGrant(number=1, is_owner=True, rate=5),
     datagrams.messages.ChangeNotification(vm="vm-1"),
     ConfirmationAnswer(number=1, vm="vm-1", groups=["ledger"], is_whole=True),
 ]
@@ -91,21 +101,21 @@
 
 
 def test_unknown_field_that_exceeds_the_datagram_is_rejected():
-    data = datagrams.encode(ViewStatusQuery(number=1))
+    data = datagrams.encode(CHANGES_QUERY)
     unknown_field = bytes.fromhex("0b0009 13000000")
     with pytest.raises(exceptions.ProtocolError):
         datagrams.decode(data[:-1] + unknown_field)
 
 
 def test_deeply_nested_field_is_rejected():
-    data = datagrams.encode(ViewStatusQuery(number=1))
+    data = datagrams.encode(CHANGES_QUERY)
     nested = bytes.fromhex("0c0009") * 500 + bytes(500)
     with pytest.raises(exceptions.ProtocolError):
         datagrams.decode(data[:-1] + nested + bytes(1))
 
 
 def test_unknown_fields_of_all_types_are_skipped():
-    message = ViewStatusQuery(number=1)
+    message = CHANGES_QUERY
     data = datagrams.encode(message)
     unknown_fields = bytes.fromhex(
         "020009 01"
@@ -161,16 +171,23 @@
     )
 
 
-def make_view_status(query):
-    """Return a view status with the number of a query."""
-    return ViewStatusAnswer(number=query.number, changed=7, age_ms=1)
+def make_changes(query):
+    """Return an answer of changes with the number of a query."""
+    return ChangesAnswer(
+        number=query.number, revision=7, age_ms=1, total=0, data=b""
+    )
+
+
+def make_changes_query():
+    """Return a query without a number."""
+    return ChangesQuery(revision=5, last_revision=0, offset=0)
 
 
 @pytest.mark.parametrize(
     "query, make_answer",
     [
         (TokenRequest(team="team", wanted=3), make_grant),
-        (ViewStatusQuery(), make_view_status),
+        (make_changes_query(), make_changes),
     ],
 )
 def test_answer_of_the_type_of_the_query_is_returned(query, make_answer):
@@ -180,8 +197,8 @@
 @pytest.mark.parametrize(
     "query, make_answer",
     [
-        (TokenRequest(team="team", wanted=3), make_view_status),
-        (ViewStatusQuery(), make_grant),
+        (TokenRequest(team="team", wanted=3), make_changes),
+        (make_changes_query(), make_grant),
     ],
 )
 def test_answer_of_another_type_than_the_query_asks_for_is_ignored(
--- a/tests/unit/proxy/test_datagram_handlers.py
+++ b/tests/unit/proxy/test_datagram_handlers.py
@@ -71,12 +71,20 @@
         groups=st.lists(names, max_size=20),
         is_whole=st.booleans(),
     ),
-    st.builds(messages.ViewStatusQuery, number=numbers),
     st.builds(
-        messages.ViewStatusAnswer,
+        messages.ChangesQuery,
         number=numbers,
-        changed=numbers,
+        revision=numbers,
+        last_revision=numbers,
+        offset=counts,
+    ),
+    st.builds(
+        messages.ChangesAnswer,
+        number=numbers,
+        revision=numbers,
         age_ms=numbers,
+        total=counts,
+        data=st.binary(max_size=50),
     ),
     st.builds(messages.ChangeNotification, vm=names),
 )
@@ -119,7 +127,8 @@
             list_groups_with_newer_lead=(
                 store_view.list_groups_with_newer_lead
             ),
-            last_change_revision=store_view.last_change_revision,
+            revision=store_view.revision,
+            change_log=store_view.change_log,
         ),
         view_age=age,
         confirmations=quorum.QuorumConfirmations(),
--- a/tests/unit/proxy/test_follower.py
+++ b/tests/unit/proxy/test_follower.py
@@ -115,6 +115,11 @@
         return self.node.view_age.get_age(clock.now())
 
 
+def make_answer(revision, *items, age_s=0.1):
+    """Return the status of a reader whose view is at a revision."""
+    return view_exchange.ViewStatus(store.Changes(items, revision), age_s)
+
+
 def run(vm, test):
     trio.run(test, FollowerFixture(vm))
 
@@ -131,9 +136,7 @@
 def test_store_is_not_read_if_the_reader_reports_no_change():
     async def test(fixture):
         await fixture.run(0.05)
-        fixture.view_exchange.answer = view_exchange.ViewStatus(
-            last_change_revision=1, age_s=0.1
-        )
+        fixture.view_exchange.answer = make_answer(1)
         calls = await fixture.run(3.2 * follower.QUERY_INTERVAL_S)
         assert calls == []
         assert 0.1 <= fixture.get_age_s() < 0.1 + 2 * follower.QUERY_INTERVAL_S
@@ -141,28 +144,35 @@
     run("vm-2", test)
 
 
-def test_change_reported_by_the_reader_is_read_once():
+def test_changes_that_the_reader_lacks_are_read_from_the_store():
     async def test(fixture):
-        fixture.view_exchange.answer = view_exchange.ViewStatus(
-            last_change_revision=1, age_s=0.1
-        )
+        fixture.view_exchange.answer = make_answer(1)
         await fixture.run(0.05)
         fixture.store.put("s/old", fleets.make_target("old"))
-        fixture.view_exchange.answer = view_exchange.ViewStatus(
-            last_change_revision=2, age_s=0.1
-        )
-        assert await fixture.run(1.5 * follower.QUERY_INTERVAL_S) == ["read"]
+        fixture.view_exchange.answer = view_exchange.ViewStatus(None, 0.1)
+        assert await fixture.run(0.5 * follower.QUERY_INTERVAL_S) == ["read"]
         assert "old" in fixture.node.view.targets
 
     run("vm-2", test)
 
 
+def test_changes_of_the_reader_need_no_read():
+    async def test(fixture):
+        fixture.view_exchange.answer = make_answer(1)
+        await fixture.run(0.05)
+        item = store.Item("s/old", fleets.make_target("old"), 2)
+        fixture.view_exchange.answer = make_answer(2, item)
+        assert await fixture.run(1.5 * follower.QUERY_INTERVAL_S) == []
+        assert "old" in fixture.node.view.targets
+        assert fixture.node.view.revision == 2
+
+    run("vm-2", test)
+
+
 def test_answer_of_the_reader_with_an_old_view_is_not_used():
     async def test(fixture):
         old_s = follower.MAX_READER_VIEW_AGE_S + 1
-        fixture.view_exchange.answer = view_exchange.ViewStatus(
-            last_change_revision=1, age_s=old_s
-        )
+        fixture.view_exchange.answer = make_answer(1, age_s=old_s)
         await fixture.run(0.05)
         assert fixture.get_age_s() < 0.2
 
--- a/tests/unit/proxy/test_view_exchange.py
+++ b/tests/unit/proxy/test_view_exchange.py
@@ -1,5 +1,6 @@
 """Queries and notifications between VMs about their store views."""
 
+import random
 import types
 
 import trio
@@ -24,6 +25,11 @@
         self.sent = []
         self.endpoints = {}
         self.is_cut = False
+        self.exchanges = {}
+
+    def is_lost(self, message):
+        """Return whether a message is lost; tests replace it."""
+        return False
 
     def add(self, vm):
         """Return the datagram endpoint of a VM."""
@@ -46,6 +52,8 @@
             return
         message = datagrams.decode(datagrams.encode(message))
         self._wire.sent.append(message)
+        if self._wire.is_lost(message):
+            return
         await self._wire.endpoints[tuple(address)].dispatch(
             message, self._sender
         )
@@ -73,7 +81,8 @@
             vm=types.SimpleNamespace(name=vm, domain="north")
         ),
     )
-    return node, view_exchange.ViewExchange(node, wire.add(vm))
+    wire.exchanges[vm] = view_exchange.ViewExchange(node, wire.add(vm))
+    return node, wire.exchanges[vm]
 
 
 def run_pair(test):
@@ -92,17 +101,87 @@
     trio.run(main)
 
 
-def test_answer_holds_last_change_and_age():
+def put(node, revision, key, value):
+    item = store.Item(key, value, revision)
+    node.view.apply(clock.now(), store.Changes((item,), revision))
+
+
+async def query_confirmed(asker, exchange, other):
+    """Query vm-2, whose view has just been confirmed."""
+    other.view_age.confirm(clock.now())
+    return await exchange.query(asker.view.members["vm-2"])
+
+
+def test_answer_without_changes_holds_revision_and_age():
     async def test(wire, asker, exchange, other):
         other.view_age.confirm(clock.now() - 0.5)
         status = await exchange.query(asker.view.members["vm-2"])
-        assert status.last_change_revision == 7
+        assert status.changes == store.Changes((), 7)
         assert 0.5 <= status.age_s < 0.6
         assert exchange.has_recent_answer(clock.now())
 
     run_pair(test)
 
 
+def test_changes_are_passed_on_in_order():
+    async def test(wire, asker, exchange, other):
+        put(other, 8, "a", b"1")
+        put(other, 9, "a", None)
+        put(other, 11, "b", b"\xff\x00")
+        status = await query_confirmed(asker, exchange, other)
+        assert status.changes == store.Changes(
+            (
+                store.Item("a", b"1", 8),
+                store.Item("a", None, 9),
+                store.Item("b", b"\xff\x00", 11),
+            ),
+            11,
+        )
+
+    run_pair(test)
+
+
+def test_large_change_is_passed_on_in_parts_of_one_batch():
+    """Another change comes meanwhile, and a part is lost."""
+    value = random.Random(1).randbytes(5 * view_exchange.MAX_PART_BYTES)
+
+    async def test(wire, asker, exchange, other):
+        put(other, 8, "large", value)
+
+        def note(message):
+            if isinstance(message, messages.ChangesAnswer):
+                put(other, 8 + len(wire.sent), "more", b"1")
+            return len(wire.sent) == 5
+
+        wire.is_lost = note
+        status = await query_confirmed(asker, exchange, other)
+        assert status.changes.items == (store.Item("large", value, 8),)
+        assert status.changes.revision == 8
+
+    run_pair(test)
+
+
+def test_changes_before_the_neighbours_listing_are_unknown():
+    async def test(wire, asker, exchange, other):
+        other.view.replace(clock.now(), store.Listing((), 20))
+        put(other, 21, "a", b"1")
+        status = await query_confirmed(asker, exchange, other)
+        assert status.changes is None
+
+    run_pair(test)
+
+
+def test_batch_that_cannot_be_decoded_is_no_answer_of_changes():
+    async def test(wire, asker, exchange, other):
+        put(other, 8, "a", b"1")
+        other_exchange = wire.exchanges["vm-2"]
+        other_exchange._batches[7, 8] = b"no batch"
+        status = await query_confirmed(asker, exchange, other)
+        assert status.changes is None
+
+    run_pair(test)
+
+
 def test_vm_without_a_store_view_does_not_answer():
     async def test(wire, asker, exchange, other):
         assert await exchange.query(asker.view.members["vm-2"]) is None
@@ -133,7 +212,9 @@
 
     async def test(wire, asker, exchange, other):
         endpoint = wire.endpoints[ADDRESSES["vm-1"]]
-        late = messages.ViewStatusAnswer(number=0, changed=7, age_ms=1)
+        late = messages.ChangesAnswer(
+            number=0, revision=7, age_ms=1, total=0, data=b""
+        )
         await endpoint.dispatch(late, ADDRESSES["vm-2"])
         assert not exchange.has_recent_answer(clock.now())
 
