Deliver acknowledgements of failovers to the VM that runs them

Cause: each VM writes a key to the store for each failover, every VM then reads the changes several times, and the keys stay as long as the VM runs, so that a later start lists pages of them. A failover of one group costs 195 writes in a fleet of 195 VMs.

Ruled out: acknowledging by domain (a further step for each failover, and a VM to wait for).

Change: a VM sends its acknowledgement to the VM that runs the failover, which confirms it. The VM that runs the failover counts both. That also serves two domains that cannot reach each other while both reach the store.

Tests: the state machine of fencing delivers acknowledgements late and out of order; a failover that all acknowledge leaves no key; with two domains cut from each other it takes as long.

--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -37,6 +37,30 @@
     covering_position: records.LogPosition | None = None
 
 
+class Acknowledgements:
+    """Failovers that other VMs have acknowledged to this one."""
+
+    def __init__(self):
+        self._newest = {}
+
+    def note(self, vm, group, revision):
+        """Record that a VM no longer uses a group's primary.
+
+        `revision` is that of the failover's leadership record; those of an
+        earlier failover of the group are forgotten.
+        """
+        known_revision, vms = self._newest.get(group, (0, set()))
+        if revision > known_revision:
+            self._newest[group] = (revision, {vm})
+        elif revision == known_revision:
+            vms.add(vm)
+
+    def has(self, vm, group, revision):
+        """Return whether a VM has acknowledged a failover."""
+        known_revision, vms = self._newest.get(group, (0, set()))
+        return revision == known_revision and vm in vms
+
+
 class Fence:
     """Fence that keeps every VM from using a primary during a failover.
 
@@ -49,9 +73,12 @@
     recorded_at : float
         Clock time, in seconds, by which the store held that record, or
         the record of another failover that it directly continues.
+    received : Acknowledgements
+        Those that reached this VM directly; the view has others.
     """
 
-    def __init__(self, group, revision, recorded_at):
+    def __init__(self, group, revision, recorded_at, received):
+        self._received = received
         self._group = group
         self._revision = revision
         self._recorded_at = recorded_at
@@ -99,14 +126,18 @@
             return None
         since = self._recorded_at - FENCE_TIMEOUT_S
         departed = view.roster.list_departures(now, now - since)
-        acknowledgements = view.list_acknowledgements(self._group)
         return {
             vm
             for vm in [*view.members, *departed]
-            if vm not in acknowledgements
-            or acknowledgements[vm].revision != self._revision
+            if not self._is_acknowledged_by(vm, view)
         }
 
+    def _is_acknowledged_by(self, vm, view):
+        if self._received.has(vm, self._group, self._revision):
+            return True
+        stored = view.list_acknowledgements(self._group).get(vm)
+        return stored is not None and stored.revision == self._revision
+
     def _note_minority(self, view, unacknowledged, now):
         if self._minority_since is not None:
             return
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -28,6 +28,7 @@
     messages.ChangesQuery: messages.ChangesAnswer,
     messages.StandbyRequest: messages.TokenGrant,
     messages.FallbackRenewalRequest: messages.FallbackGrant,
+    messages.FailoverAcknowledgement: messages.AcknowledgementReceipt,
 }
 """Messages that answer one query, identified by its number. A
 `ConfirmationAnswer` is passed to a handler, as its request goes to many
@@ -48,6 +49,8 @@
     messages.StandbyRequest,
     messages.FallbackRenewalRequest,
     messages.FallbackGrant,
+    messages.FailoverAcknowledgement,
+    messages.AcknowledgementReceipt,
 )
 _TYPE_NUMBERS = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -103,3 +103,17 @@
   2: required bool is_owner
   3: required i32 rate
 }
+
+/** Tells the VM that runs a failover that `vm` no longer uses the primary of
+    a group. `revision` is that of the failover's leadership record. */
+struct FailoverAcknowledgement {
+  1: required i64 number
+  2: required string vm
+  3: required string group
+  4: required i64 revision
+}
+
+/** Confirms that an acknowledgement has been recorded. */
+struct AcknowledgementReceipt {
+  1: required i64 number
+}
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -8,6 +8,7 @@
 
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.network import datagrams
+from geraniumridge._internal.proxy import acknowledgement_exchange
 from geraniumridge._internal.proxy import failover
 from geraniumridge._internal.proxy import follower
 from geraniumridge._internal.proxy import limits
@@ -73,7 +74,12 @@
         )
         self._membership = membership.Membership(node, store)
         self._primary_revoker = primary_revocation.PrimaryRevoker(
-            node, store, lambda: self._membership.lease
+            node,
+            store,
+            acknowledgement_exchange.AcknowledgementExchange(
+                node, self._peers
+            ),
+            lambda: self._membership.lease,
         )
         self._failover_monitor = failover.FailoverMonitor(
             node, store, promoter, self._view_exchange
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -7,6 +7,7 @@
 from geraniumridge._internal.decisions import position_history
 from geraniumridge._internal.decisions import primary_resolver
 from geraniumridge._internal.decisions import quorum
+from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.decisions import view_age
 from geraniumridge._internal.proxy import pool
@@ -53,6 +54,7 @@
         self.view_age = view_age.ViewAge()
         self.view = view.View(decode)
         self.confirmations = quorum.QuorumConfirmations()
+        self.acknowledgements = succession.Acknowledgements()
         self.primary_resolver = primary_resolver.PrimaryResolver(
             settings.vm.name,
             boot,
--- a/src/geraniumridge/_internal/proxy/primary_revocation.py
+++ b/src/geraniumridge/_internal/proxy/primary_revocation.py
@@ -30,13 +30,16 @@
         State of the VM.
     store : ports.store.Store
         The platform's store.
+    exchange : proxy.acknowledgement_exchange.AcknowledgementExchange
+        Delivers acknowledgements to other VMs.
     get_lease : callable
         Returns the number of the VM's lease, 0 without one.
     """
 
-    def __init__(self, node, store, get_lease):
+    def __init__(self, node, store, exchange, get_lease):
         self._node = node
         self._store = store
+        self._exchange = exchange
         self._get_lease = get_lease
         self._acknowledged = {}
         self._known_primaries = {}
@@ -120,6 +123,11 @@
         await usage.wait_idle(grace_s)
         self._stop_using(group, usage, "replacement pending")
         key = fleet.make_lead_key(group)
+        if self._node.view.get_revision(key) != revision:
+            return
+        holder = self._node.view.get_lead(group).holder
+        if await self._exchange.deliver(group, revision, holder):
+            return
         while self._node.view.get_revision(key) == revision:
             try:
                 if self._get_lease():
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -129,7 +129,12 @@
         """
         started = clock.now()
         pending_at = self._pending_since or started
-        fence = succession.Fence(self._group, self._revision, pending_at)
+        fence = succession.Fence(
+            self._group,
+            self._revision,
+            pending_at,
+            self._node.acknowledgements,
+        )
         while not fence.is_established(self._node.view, clock.now()):
             if self._is_superseded():
                 return
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -9,6 +9,7 @@
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import failover
+from geraniumridge._internal.utils import rendezvous
 from lib import proxies
 from lib.proxies import is_success
 from lib.proxies import run_in_cluster
@@ -474,25 +475,52 @@
     trio.run(main)
 
 
+async def time_planned_failover(cluster):
+    """Drain the primary; return the time until its successor is promoted."""
+    started_at = trio.current_time()
+    cluster.register(cluster.group.instances["i-0"], state="draining")
+    await proxies.wait_until(lambda: cluster.promotion_server.promotion_calls)
+    return trio.current_time() - started_at
+
+
+def count_stored_acknowledgements(cluster):
+    """Return the number of acknowledgements in the store."""
+    return sum(
+        key.startswith(fleet.ACKNOWLEDGEMENTS_PREFIX)
+        for key in cluster.store.items
+    )
+
+
 def test_failover_is_fast_when_all_members_acknowledge():
+    """None of them has to write to the store."""
+
     async def main():
         async with proxies.open_cluster() as cluster:
             for number in range(3):
                 await cluster.add_proxy(f"vm-{number}")
             # A VM that has just started may have missed departures.
             await trio.sleep(succession.FENCE_TIMEOUT_S + 0.2)
-            started_at = trio.current_time()
-            cluster.register(cluster.group.instances["i-0"], state="draining")
-            await proxies.wait_until(
-                lambda: cluster.promotion_server.promotion_calls
+            assert await time_planned_failover(cluster) < 1.5
+            assert count_stored_acknowledgements(cluster) == 0
+
+    trio.run(main)
+
+
+def test_failover_is_fast_while_two_domains_cannot_reach_each_other():
+    """The store, which both reach, carries the acknowledgements between."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            members = await add_proxy_per_domain(cluster)
+            await trio.sleep(succession.FENCE_TIMEOUT_S + 0.2)
+            ranked = rendezvous.rank_nodes(
+                "ledger", members[0].node.view.members
             )
-            assert trio.current_time() - started_at < 1.5
-            acknowledgement_keys = [
-                key
-                for key in cluster.store.items
-                if key.startswith(fleet.ACKNOWLEDGEMENTS_PREFIX)
-            ]
-            assert len(acknowledgement_keys) == 3
+            by_name = {proxy.settings.vm.name: proxy for proxy in members}
+            holder, unreachable, _ = [by_name[vm] for vm in ranked]
+            holder.disconnect_peers([unreachable])
+            assert await time_planned_failover(cluster) < 1.5
+            assert count_stored_acknowledgements(cluster) == 1
 
     trio.run(main)
 
--- a/tests/unit/decisions/test_fencing.py
+++ b/tests/unit/decisions/test_fencing.py
@@ -72,6 +72,8 @@
         self.keys = {}
         self.requests = []
         self.confirmations_in_transit = []
+        self.acknowledgements_in_transit = []
+        self.received = succession.Acknowledgements()
         self.fence = None
         self.pending = 0
         self.is_fence_established = False
@@ -155,10 +157,27 @@
             key = fleet.make_acknowledgement_key("ledger", name)
             self.put(key, fleet.Acknowledgement(name, revision))
 
+    def send_acknowledgement(self, name):
+        """Send an acknowledgement to the holder directly."""
+        vm = self.vms[name]
+        lead = vm.view.get_lead("ledger")
+        if lead is not None and lead.is_pending:
+            revision = vm.view.get_revision(LEAD_KEY)
+            self.acknowledgements_in_transit.append((name, revision))
+
+    def take_acknowledgement(self, index):
+        """Let the holder receive an acknowledgement, perhaps a late one."""
+        name, revision = self.acknowledgements_in_transit.pop(
+            index % len(self.acknowledgements_in_transit)
+        )
+        self.received.note(name, "ledger", revision)
+
     def start_failover(self):
         lead = fleet.Lead("old", 1, f"{HOLDER}/x", True)
         self.pending = self.put(LEAD_KEY, lead)
-        self.fence = succession.Fence("ledger", self.pending, self.now)
+        self.fence = succession.Fence(
+            "ledger", self.pending, self.now, self.received
+        )
 
     def run_holder_step(self):
         """Let the holder acknowledge, read the store and check the fence."""
@@ -215,6 +234,15 @@
         self.sync(name)
         self.acknowledge(name)
 
+    @stateful.rule(name=st.sampled_from(OTHERS))
+    def acknowledge_directly(self, name):
+        self.send_acknowledgement(name)
+
+    @stateful.precondition(lambda self: self.acknowledgements_in_transit)
+    @stateful.rule(index=st.integers(0, 9))
+    def receive_acknowledgement(self, index):
+        self.take_acknowledgement(index)
+
     @stateful.rule()
     def step_holder(self):
         self.run_holder_step()
--- a/tests/unit/decisions/test_succession.py
+++ b/tests/unit/decisions/test_succession.py
@@ -37,8 +37,13 @@
     change(store_view, key, fleet.Acknowledgement(vm, of), now, revision)
 
 
-def make_fence():
-    return succession.Fence("ledger", FAILOVER_REVISION, RECORDED_AT)
+def make_fence(received=None):
+    return succession.Fence(
+        "ledger",
+        FAILOVER_REVISION,
+        RECORDED_AT,
+        received or succession.Acknowledgements(),
+    )
 
 
 def list_unacknowledged(store_view, now):
@@ -57,6 +62,19 @@
     assert fence.is_established(store_view, 100.3)
 
 
+def test_acknowledgements_count_from_the_store_and_from_the_vms():
+    store_view = make_view()
+    received = succession.Acknowledgements()
+    fence = make_fence(received)
+    acknowledge(store_view, "vm-1", 100.1, 51)
+    received.note("vm-2", "ledger", FAILOVER_REVISION - 1)
+    received.note("vm-2", "other", FAILOVER_REVISION)
+    assert fence.list_unacknowledged(store_view, 100.1) == {"vm-2"}
+    received.note("vm-2", "ledger", FAILOVER_REVISION)
+    received.note("vm-2", "ledger", FAILOVER_REVISION - 1)
+    assert fence.is_established(store_view, 100.2)
+
+
 def test_acknowledgement_of_an_earlier_failover_does_not_count():
     store_view = make_view()
     acknowledge(store_view, "vm-1", 90.0, 40, of=39)
--- a/tests/unit/proxy/test_datagram_handlers.py
+++ b/tests/unit/proxy/test_datagram_handlers.py
@@ -7,12 +7,14 @@
 import trio
 
 from geraniumridge._internal.decisions import quorum
+from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.decisions import view_age
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.ports import store
+from geraniumridge._internal.proxy import acknowledgement_exchange
 from geraniumridge._internal.proxy import limits
 from geraniumridge._internal.proxy import quorum_exchange
 from geraniumridge._internal.proxy import view_exchange
@@ -87,6 +89,14 @@
         data=st.binary(max_size=50),
     ),
     st.builds(messages.ChangeNotification, vm=names),
+    st.builds(
+        messages.FailoverAcknowledgement,
+        number=numbers,
+        vm=names,
+        group=names,
+        revision=numbers,
+    ),
+    st.builds(messages.AcknowledgementReceipt, number=numbers),
 )
 
 
@@ -121,7 +131,9 @@
     age.confirm(now)
     node = types.SimpleNamespace(
         view=types.SimpleNamespace(
-            state=types.SimpleNamespace(version=1, teams={"team": team}),
+            state=types.SimpleNamespace(
+                version=1, teams={"team": team}, groups={"team": None}
+            ),
             members=store_view.members,
             roster=store_view.roster,
             list_groups_with_newer_lead=(
@@ -132,6 +144,7 @@
         ),
         view_age=age,
         confirmations=quorum.QuorumConfirmations(),
+        acknowledgements=succession.Acknowledgements(),
         lease_until=now + 3600,
         primary_resolver=types.SimpleNamespace(
             is_self_registered=lambda: True
@@ -146,6 +159,7 @@
     limits.Limits(node, peers)
     view_exchange.ViewExchange(node, peers)
     quorum_exchange.QuorumExchange(node, peers)
+    acknowledgement_exchange.AcknowledgementExchange(node, peers)
     return peers
 
 
--- a/tests/unit/proxy/test_primary_revocation.py
+++ b/tests/unit/proxy/test_primary_revocation.py
@@ -15,6 +15,30 @@
 LEAD_KEY = fleet.make_lead_key("ledger")
 
 
+class FakeExchange:
+    """Delivery of acknowledgements, which succeeds if tests say so."""
+
+    def __init__(self, is_delivered=False):
+        self.is_delivered = is_delivered
+        self.deliveries = []
+
+    async def deliver(self, group, revision, holder):
+        """Record a delivery."""
+        self.deliveries.append((group, revision, holder))
+        return self.is_delivered
+
+
+class FakeStore:
+    """Store that records what is written."""
+
+    def __init__(self):
+        self.keys = []
+
+    async def commit(self, expected, writes=(), deletes=()):
+        """Record the keys of a transaction."""
+        self.keys += [write.key for write in writes]
+
+
 def make_node():
     settings = proxy_settings.ProxySettings(
         vm=proxy_settings.VmSettings("vm-1", "north", "127.0.0.1"),
@@ -66,7 +90,9 @@
 
     async def main():
         state = make_node()
-        revoker = primary_revocation.PrimaryRevoker(state, None, lambda: 0)
+        revoker = primary_revocation.PrimaryRevoker(
+            state, None, FakeExchange(), lambda: 0
+        )
         usage = await read_pending_lead(state, view_age_s)
         epoch = usage.epoch
         async with trio.open_nursery() as nursery:
@@ -76,3 +102,25 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+@pytest.mark.parametrize("is_delivered", [True, False])
+def test_acknowledgement_is_stored_only_if_it_cannot_be_delivered(
+    is_delivered,
+):
+    async def main():
+        state = make_node()
+        written = FakeStore()
+        exchange = FakeExchange(is_delivered)
+        revoker = primary_revocation.PrimaryRevoker(
+            state, written, exchange, lambda: 7
+        )
+        usage = await read_pending_lead(state, 0.2)
+        usage.end_statement()
+        async with trio.open_nursery() as nursery:
+            revoker.stop_using_replaced(nursery)
+        assert exchange.deliveries == [("ledger", 2, "vm-2/boot")]
+        key = fleet.make_acknowledgement_key("ledger", "vm-1")
+        assert written.keys == ([] if is_delivered else [key])
+
+    trio.run(main)
