Check only a VM's own teams every tenth of a second

Change: the teams that a VM limits or stands by for are found when the members or the plan change. Renewals and confirmations are started by the one periodic check when they are due. A bucket that is not in use is suspended and empty when it is used again, so no tokens are gained while another VM limits a team.

--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -177,12 +177,13 @@
         self._bucket = Bucket(now, start_tokens)
         self._domains = {}
 
-    def restart(self, now):
-        """Empty the bucket, as this VM may not be the limiter for a while.
+    def suspend(self):
+        """Empty the bucket until it is next used.
 
-        The fallback rates stay, since standbys may go on using them.
+        This VM may not be the limiter meanwhile. The fallback rates stay,
+        since standbys may go on using them.
         """
-        self._bucket = Bucket(now)
+        self._bucket = None
 
     def fill(self, allowance, now):
         """Add the tokens gained since the last call.
@@ -190,7 +191,8 @@
         Called often, as the rate changes whenever a fallback rate begins
         or ceases to apply.
         """
-        self._bucket.take(self._subtract_fallbacks(allowance, now), 0, now)
+        remaining = self._subtract_fallbacks(allowance, now)
+        self._resume(now).take(remaining, 0, now)
 
     def grant(self, domain, allowance, wanted, now):
         """Grant up to `wanted` tokens to a VM of a domain.
@@ -201,9 +203,10 @@
             Number of tokens, and seconds until more are available.
         """
         remaining = self._subtract_fallbacks(allowance, now)
-        taken = self._bucket.take(remaining, wanted, now)
+        bucket = self._resume(now)
+        taken = bucket.take(remaining, wanted, now)
         self._get_domain(domain, now).meter.note(now, taken)
-        return taken, self._bucket.get_retry_s(remaining)
+        return taken, bucket.get_retry_s(remaining)
 
     def renew_fallback(self, domain, renewal, allowance, now):
         """Return a domain's fallback rate, in tokens per second.
@@ -221,6 +224,11 @@
         entry.renewed_at = now
         return granted
 
+    def _resume(self, now):
+        if self._bucket is None:
+            self._bucket = Bucket(now)
+        return self._bucket
+
     def _compute_fallback_rate(self, entry, allowance, now):
         other_fallback_rates = sum(
             other.fallback_rate
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -113,8 +113,6 @@
         nursery.start_soon(self._target_recorder.run)
         nursery.start_soon(self._run_checks)
         nursery.start_soon(self._close_unused_connections)
-        nursery.start_soon(self._query_peers)
-        nursery.start_soon(self._renew_fallback_rates)
 
     async def open_session(self, database, key):
         """Return a new session and None, or None and the refusal."""
@@ -220,6 +218,8 @@
             await trio.sleep(CHECK_INTERVAL_S)
             self._node.view.expire(clock.now())
             self._node.limits.refresh()
+            self._node.limits.start_due_renewals(self._nursery)
+            self._quorum_exchange.start_due_request(self._nursery)
             self._primary_revoker.stop_using_unconfirmed()
             if not self.is_stopping:
                 self._failover_monitor.check(self._nursery)
@@ -234,16 +234,6 @@
                 # the limited connections of the targets.
                 self._node.pools.close_idle()
 
-    async def _query_peers(self):
-        while True:
-            await trio.sleep(CHECK_INTERVAL_S)
-            await self._quorum_exchange.request_confirmations()
-
-    async def _renew_fallback_rates(self):
-        while True:
-            await trio.sleep(CHECK_INTERVAL_S)
-            await self._node.limits.renew_fallback_rates()
-
     def _apply_view_change(self):
         """Apply changes of the view.
 
--- a/src/geraniumridge/_internal/proxy/limit_directory.py
+++ b/src/geraniumridge/_internal/proxy/limit_directory.py
@@ -18,6 +18,13 @@
     standby: fleet.Member | None
 
 
+class OwnTeams(typing.NamedTuple):
+    """Names of the teams that this VM limits, and that it stands by for."""
+
+    limited: frozenset[str]
+    stood_by: frozenset[str]
+
+
 class LimitDirectory:
     """Limiters and standbys of all teams, cached until the members change.
 
@@ -33,26 +40,54 @@
         self._standbys = rendezvous.OwnerIndex()
         self._holders = {}
         self._version = None
+        self._own_teams = None
 
     def find(self, team):
         """Return the `TeamHolders` of a team."""
-        view = self._node.view
-        if view.roster.change_count != self._version:
-            self._version = view.roster.change_count
-            self._update_members(view.members)
+        self._update()
         found = self._holders.get(team)
         if found is None:
             found = self._holders[team] = self._find_holders(team)
         return found
 
+    def find_own_teams(self, teams):
+        """Return the `OwnTeams` among some teams.
+
+        It is kept until the members change, or `retain` is called.
+        """
+        self._update()
+        if self._own_teams is None:
+            holders = {team: self.find(team) for team in teams}
+            self._own_teams = OwnTeams(
+                frozenset(
+                    team
+                    for team, found in holders.items()
+                    if self.is_self(found.limiter)
+                ),
+                frozenset(
+                    team
+                    for team, found in holders.items()
+                    if self.is_self(found.standby)
+                ),
+            )
+        return self._own_teams
+
     def retain(self, teams):
         """Forget all other teams than these."""
         self._limiters.retain({rates.make_limiter_key(team) for team in teams})
         self._standbys.retain({rates.make_standby_key(team) for team in teams})
         self._holders.clear()
+        self._own_teams = None
 
-    def _update_members(self, members):
+    def _update(self):
+        """Apply changes of the members since the last call."""
+        view = self._node.view
+        if view.roster.change_count == self._version:
+            return
+        self._version = view.roster.change_count
+        members = view.members
         self._holders.clear()
+        self._own_teams = None
         self._limiters.update(rates.list_candidates(members.values()))
         domain = self._node.settings.vm.domain
         self._standbys.update(
--- a/src/geraniumridge/_internal/proxy/limiter.py
+++ b/src/geraniumridge/_internal/proxy/limiter.py
@@ -36,6 +36,7 @@
         self._peers = peers
         self._directory = directory
         self._buckets = {}
+        self._limited = frozenset()
         messages = datagrams.messages
         peers.handle(messages.TokenRequest, self._answer_token_request)
         peers.handle(messages.FallbackRenewalRequest, self._answer_renewal)
@@ -48,13 +49,15 @@
         """
         for team in self._buckets.keys() - teams.keys():
             del self._buckets[team]
-        may_grant = self._directory.may_grant(now)
-        for team, limit in teams.items():
-            if may_grant and self._is_limiter(team):
-                bucket = self._get_bucket(team, now)
-                bucket.fill(_get_allowance(limit), now)
-            elif team in self._buckets:
-                self._buckets[team].restart(now)
+        limited = self._directory.find_own_teams(teams).limited
+        if not self._directory.may_grant(now):
+            limited = frozenset()
+        for team in self._buckets.keys() & (self._limited - limited):
+            self._buckets[team].suspend()
+        self._limited = limited
+        for team in limited:
+            bucket = self._get_bucket(team, now)
+            bucket.fill(_get_allowance(teams[team]), now)
 
     def grant(self, number, team, wanted, domain):
         """Return the grant for a VM of a domain.
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -111,9 +111,12 @@
         self._limiter.refresh(state.teams, now)
         self._standby.refresh(state.teams, now)
 
-    async def renew_fallback_rates(self):
-        """Renew the fallback rates that this VM holds as a standby."""
-        await self._standby.renew_due()
+    def start_due_renewals(self, nursery):
+        """Renew the fallback rates that this VM holds as a standby.
+
+        Called periodically; the renewals run in tasks of the nursery.
+        """
+        self._standby.start_due_renewals(nursery, clock.now())
 
     def _get_team_state(self, team, now):
         team_state = self._team_states.get(team)
--- a/src/geraniumridge/_internal/proxy/quorum_exchange.py
+++ b/src/geraniumridge/_internal/proxy/quorum_exchange.py
@@ -44,14 +44,19 @@
         )
         peers.handle(datagrams.messages.ConfirmationAnswer, self._note_answer)
 
-    async def request_confirmations(self):
-        """Ask the other voters if it is due; called periodically."""
+    def start_due_request(self, nursery):
+        """Ask the other voters in a task of a nursery, if it is due.
+
+        Called periodically.
+        """
         now = clock.now()
         age_s = self._node.view_age.get_age(now)
         if not REQUEST_AGE_S <= age_s <= primary_resolver.MAX_VIEW_AGE_S:
             return
-        if now - self._requested_at < REQUEST_INTERVAL_S:
-            return
+        if now - self._requested_at >= REQUEST_INTERVAL_S:
+            nursery.start_soon(self._request_confirmations, now)
+
+    async def _request_confirmations(self, now):
         self._request_number = next(self._numbers)
         self._requested_at = now
         request = datagrams.messages.ConfirmationRequest(
--- a/src/geraniumridge/_internal/proxy/standby.py
+++ b/src/geraniumridge/_internal/proxy/standby.py
@@ -34,28 +34,25 @@
 
     def refresh(self, teams, now):
         """Fill the reserves of the teams whose standby this VM is."""
-        may_grant = self._directory.may_grant(now)
-        own_teams = {
-            team: limit
-            for team, limit in teams.items()
-            if may_grant and self._is_standby(team)
-        }
-        for team in self._buckets.keys() - own_teams.keys():
+        own_teams = self._directory.find_own_teams(teams).stood_by
+        if not self._directory.may_grant(now):
+            own_teams = frozenset()
+        for team in self._buckets.keys() - own_teams:
             del self._buckets[team]
-        for team, limit in own_teams.items():
-            self._get_bucket(team, now).fill(self._get_reserve(limit), now)
+        for team in own_teams:
+            reserve = self._get_reserve(teams[team])
+            self._get_bucket(team, now).fill(reserve, now)
 
-    async def renew_due(self):
-        """Renew the fallback rates that are due; called periodically."""
-        for team, bucket in list(self._buckets.items()):
+    def start_due_renewals(self, nursery, now):
+        """Renew the fallback rates that are due, in tasks of a nursery."""
+        has_recent_view = self._directory.has_recent_view()
+        for team, bucket in self._buckets.items():
             member = self._directory.find(team).limiter
             if member is None:
                 continue
-            renewal = bucket.make_due_renewal(
-                member, self._directory.has_recent_view(), clock.now()
-            )
+            renewal = bucket.make_due_renewal(member, has_recent_view, now)
             if renewal is not None:
-                await self._renew(team, bucket, member, renewal)
+                nursery.start_soon(self._renew, team, bucket, member, renewal)
 
     def grant(self, number, team, wanted):
         """Return the grant for a VM of the domain."""
--- a/tests/unit/decisions/test_rates.py
+++ b/tests/unit/decisions/test_rates.py
@@ -108,12 +108,21 @@
     limiter_bucket, _, now = make_busy_limiter()
     allowance = rates.Allowance(100.0, 100.0)
     rate = limiter_bucket.renew_fallback("north", NOT_USING, allowance, now)
-    limiter_bucket.restart(now)
+    limiter_bucket.suspend()
+    limiter_bucket.fill(allowance, now)
     now += SILENT_AFTER_S
     tokens, _ = limiter_bucket.grant("south", allowance, 100, now)
     assert tokens == int((100.0 - rate) * SILENT_AFTER_S)
 
 
+def test_limiter_gains_no_tokens_while_another_vm_is_the_limiter():
+    limiter_bucket, allowance, now = make_busy_limiter()
+    limiter_bucket.suspend()
+    later = now + 60.0
+    assert limiter_bucket.grant("north", allowance, 5, later)[0] == 0
+    assert limiter_bucket.grant("north", allowance, 5, later + 0.04)[0] == 4
+
+
 def test_limiter_subtracts_a_rate_that_is_used_although_renewals_arrive():
     """The answers do not: the way back is cut."""
     limiter_bucket, allowance, now = make_busy_limiter()
