Replace idle connections at a target that is full

Cause: after a loss of power a target counts the connections of the dead processes for seconds. A VM below its own share opened another connection for each team without one, was refused, and refused the statement, while it kept idle connections of other teams.

Ruled out: keeping fewer connections open in calm times (each pays 12 ms).

Change: a refusal at the limit is remembered for half a second, in which the VM closes an idle connection for each that it opens; the statement that met the refusal goes on with the place of an idle one at once.

--- a/src/geraniumridge/_internal/decisions/connection_share.py
+++ b/src/geraniumridge/_internal/decisions/connection_share.py
@@ -5,6 +5,7 @@
 ones differs from target to target.
 """
 
+import math
 import typing
 import zlib
 
@@ -19,6 +20,10 @@
 limit; the target refuses what exceeds the limit in total."""
 
 
+FULL_TARGET_S = 0.5
+"""Time after a refusal at its limit for which a target counts as full."""
+
+
 class MemberIndex(typing.NamedTuple):
     """Index of a VM in the sorted names of all members."""
 
@@ -37,6 +42,39 @@
     max_kept_open: int
 
 
+class FullTarget:
+    """Limit on a VM's connections to a target that has refused one.
+
+    Load pattern: all VMs lose power and return, while the target still
+    counts the connections of their former processes. As long as it refuses
+    further connections, a VM replaces its idle ones, which are of other
+    teams, instead of adding to them.
+    """
+
+    def __init__(self):
+        self._max_open = 0
+        self._ends_at = -math.inf
+
+    def note_refused(self, open_count, now):
+        """Record that the target refused a connection at its limit.
+
+        Parameters
+        ----------
+        open_count : int
+            Connections that this VM has open to it.
+        now : float
+            Clock time, in seconds.
+        """
+        self._max_open = max(1, open_count)
+        self._ends_at = now + FULL_TARGET_S
+
+    def get_max_open(self, max_open, now):
+        """Return how many connections may be open, at most `max_open`."""
+        if now >= self._ends_at:
+            return max_open
+        return min(max_open, self._max_open)
+
+
 def find_index(vm, members):
     """Return the `MemberIndex` of a VM.
 
--- a/src/geraniumridge/_internal/exceptions.py
+++ b/src/geraniumridge/_internal/exceptions.py
@@ -35,6 +35,10 @@
     """Request that certainly did not reach the other side."""
 
 
+class ConnectionLimitError(NotSentError):
+    """A target has no connection left for this VM."""
+
+
 class ConnectionLostError(NetworkError):
     """Request without an answer; it may have reached the other side."""
 
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -74,6 +74,7 @@
         self._opening = 0
         self._capacity_freed = trio.Event()
         self._limits = connection_share.PoolLimits(1, 1)
+        self._full_target = connection_share.FullTarget()
         self.load = load.TargetLoad()
         self.warmup = rates.Bucket(clock.now())
 
@@ -118,8 +119,14 @@
             found = self._take_idle_connection(target, team)
             if found is not None:
                 return found
-            if self.size < self._limits.max_open or self._close_oldest_idle():
-                return await self._open_connection(target, team)
+            if self._may_add_connection() or self._close_oldest_idle():
+                try:
+                    return await self._open_connection(target, team)
+                except exceptions.ConnectionLimitError:
+                    if not self._idle:
+                        raise
+                    # One of these makes room.
+                    continue
             if self._is_target_silent():
                 raise exceptions.NotSentError(
                     f"{target.id}: silent, and no connection is free"
@@ -189,6 +196,12 @@
                 return connection
         return None
 
+    def _may_add_connection(self):
+        max_open = self._full_target.get_max_open(
+            self._limits.max_open, clock.now()
+        )
+        return self.size < max_open
+
     def _has_too_many_open(self):
         open_count = len(self._idle) + len(self._busy)
         return open_count > self._limits.max_kept_open
@@ -210,7 +223,11 @@
             self.load.note_answer(clock.now())
             if error.outcome is statements.Outcome.TOO_MANY_CONNECTIONS:
                 self._log_connection_limit(target)
-                await trio.sleep(CONNECTION_LIMIT_PAUSE_S)
+                open_count = len(self._idle) + len(self._busy)
+                self._full_target.note_refused(open_count, clock.now())
+                if not self._idle:
+                    await trio.sleep(CONNECTION_LIMIT_PAUSE_S)
+                raise exceptions.ConnectionLimitError(str(error))
             raise exceptions.NotSentError(str(error))
         except exceptions.NetworkError:
             self.load.note_failure(clock.now(), started_at)
--- a/tests/unit/decisions/test_connection_share.py
+++ b/tests/unit/decisions/test_connection_share.py
@@ -43,6 +43,21 @@
     assert len(keepers) > 1
 
 
+def test_connections_to_a_full_target_are_not_added_for_a_while():
+    full = connection_share.FullTarget()
+    assert full.get_max_open(4, 0.0) == 4
+    full.note_refused(2, 1.0)
+    assert full.get_max_open(4, 1.1) == 2
+    assert full.get_max_open(1, 1.1) == 1
+    assert full.get_max_open(4, 1.0 + connection_share.FULL_TARGET_S) == 4
+
+
+def test_vm_without_a_connection_to_a_full_target_may_try_one():
+    full = connection_share.FullTarget()
+    full.note_refused(0, 1.0)
+    assert full.get_max_open(4, 1.1) == 1
+
+
 def test_vm_that_is_not_registered_is_counted():
     position = connection_share.find_index("vm-2", ["vm-1", "vm-3"])
     assert position == connection_share.MemberIndex(1, 3)
