Let an operation wait for a token that comes in time

Cause: operations of a team within its limit do not arrive evenly; one that found the bucket empty was refused although the next token was milliseconds away.

Change: it waits up to a fifth of the latency objective if the limiter or the standby may have a token by then, at most four of a team at a VM; others are refused at once.

--- a/src/geraniumridge/_internal/proxy/admission.py
+++ b/src/geraniumridge/_internal/proxy/admission.py
@@ -13,6 +13,10 @@
 rejected as unknown. With an older view it may just have been added, so
 the operation is refused as overloaded instead."""
 
+TOKEN_WAIT_SHARE = 0.2
+"""Fraction of the route's latency objective for which an operation waits for
+a token of its team's limit, before it is refused."""
+
 NO_TEAM = "-"
 """Team name of statements without a known key, on public routes."""
 
@@ -87,7 +91,8 @@
         ):
             return admission_result
         team = self._node.view.state.teams.get(admission_result.team)
-        if team is None or await self._node.limits.take(team):
+        wait_s = TOKEN_WAIT_SHARE * admission_result.route.latency_objective_s
+        if team is None or await self._node.limits.take(team, wait_s):
             return admission_result
         return AdmissionResult(outcome=Outcome.OVERLOADED, detail="rate limit")
 
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -33,6 +33,9 @@
 STANDBY_RETRY_DELAY_S = 0.05
 """Delay before the next request to a standby that had no token."""
 
+MAX_WAITING = 4
+"""Operations of one team that wait for a token at the same time."""
+
 DEMAND_WINDOW_S = 1.0
 """Time over which this VM averages the rate of a team's operations."""
 
@@ -46,10 +49,12 @@
         self.request_lock = trio.Lock()
         self.limiter_retry_at = 0.0
         self.standby_retry_at = 0.0
+        self.waiting = 0
 
-    def may_request(self, now):
-        """Return whether the limiter or the standby may be asked."""
-        return now >= min(self.limiter_retry_at, self.standby_retry_at)
+    @property
+    def retry_at(self):
+        """Clock time from which the limiter or the standby may be asked."""
+        return min(self.limiter_retry_at, self.standby_retry_at)
 
 
 class Limits:
@@ -74,13 +79,19 @@
             node, peers, self._directory, self._limiter
         )
 
-    async def take(self, team):
+    async def take(self, team, wait_s=0.0):
         """Take a token for one operation of a team.
 
+        Load pattern: operations of a team within its limit do not arrive
+        evenly. One that finds no token waits if there may be one in time, and
+        is refused at once if not, or if several wait already.
+
         Parameters
         ----------
         team : desired.Team
             The team and its limit.
+        wait_s : float, optional
+            Longest time to wait for a token, in seconds.
 
         Returns
         -------
@@ -88,14 +99,31 @@
             Whether the operation is within the limit.
         """
         now = clock.now()
+        deadline = now + wait_s
         team_state = self._get_team_state(team.name, now)
         rate = team_state.demand.note(now)
+        while not await self._try_take(team.name, team_state, rate):
+            retry_at = team_state.retry_at
+            if retry_at > deadline or team_state.waiting >= MAX_WAITING:
+                return False
+            team_state.waiting += 1
+            try:
+                pause_s = retry_at - clock.now()
+                await trio.sleep(max(MIN_RETRY_DELAY_S, pause_s))
+            finally:
+                team_state.waiting -= 1
+            if clock.now() > deadline:
+                return False
+        return True
+
+    async def _try_take(self, team, team_state, rate):
+        now = clock.now()
         if team_state.local_tokens.take(now):
             return True
-        if not team_state.may_request(now):
+        if now < team_state.retry_at:
             return False
         async with team_state.request_lock:
-            return await self._request_tokens(team.name, team_state, rate)
+            return await self._request_tokens(team, team_state, rate)
 
     def refresh(self):
         """Apply changes of the teams and of the members; fill buckets."""
--- a/tests/unit/proxy/test_limits.py
+++ b/tests/unit/proxy/test_limits.py
@@ -103,6 +103,64 @@
     run(test)
 
 
+def test_operation_waits_for_a_token_that_comes_in_time():
+    async def test(fixture):
+        fixture.peers.limiter_answer = limiter_module.make_grant(
+            1, tokens=0, retry_s=0.03
+        )
+        fixture.peers.standby_answer = limiter_module.make_grant(1, tokens=0)
+
+        async def grant_later():
+            await trio.sleep(0.02)
+            fixture.peers.limiter_answer = limiter_module.make_grant(
+                1, tokens=1
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(grant_later)
+            assert await fixture.limits.take(fixture.team, wait_s=0.1)
+
+    run(test)
+
+
+def test_operation_is_refused_at_once_if_no_token_can_come_in_time():
+    async def test(fixture):
+        fixture.peers.limiter_answer = limiter_module.make_grant(
+            1, tokens=0, retry_s=0.5
+        )
+        fixture.peers.standby_answer = limiter_module.make_grant(1, tokens=0)
+        wait_s = limits.STANDBY_RETRY_DELAY_S / 2
+        began_at = trio.current_time()
+        assert not await fixture.limits.take(fixture.team, wait_s)
+        assert trio.current_time() - began_at < wait_s
+
+    run(test)
+
+
+def test_few_operations_wait_at_the_same_time():
+    """Those of a team far beyond its limit are refused at once."""
+
+    async def test(fixture):
+        fixture.peers.limiter_answer = limiter_module.make_grant(
+            1, tokens=0, retry_s=0.05
+        )
+        fixture.peers.standby_answer = limiter_module.make_grant(1, tokens=0)
+        refused_at_once = []
+        began_at = trio.current_time()
+
+        async def take():
+            assert not await fixture.limits.take(fixture.team, wait_s=0.2)
+            if trio.current_time() - began_at < 0.1:
+                refused_at_once.append(True)
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(take)
+        assert len(refused_at_once) == 20 - limits.MAX_WAITING
+
+    run(test)
+
+
 def test_nobody_is_asked_for_a_while_when_both_grant_nothing():
     async def test(fixture):
         fixture.peers.limiter_answer = limiter_module.make_grant(
