Look for the own registration as soon as it is written

Cause: a VM that starts may grant and use nothing until its view shows its registration, and reads it only at its next regular update, up to half a second later.

Change: the registration wakes the follower, which updates every 50 ms until the view shows it.

--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -72,7 +72,9 @@
         self._follower = follower.StoreFollower(
             node, store, self._view_exchange, self._apply_view_change
         )
-        self._membership = membership.Membership(node, store)
+        self._membership = membership.Membership(
+            node, store, self._view_exchange.wake
+        )
         self._primary_revoker = primary_revocation.PrimaryRevoker(
             node,
             store,
--- a/src/geraniumridge/_internal/proxy/follower.py
+++ b/src/geraniumridge/_internal/proxy/follower.py
@@ -42,6 +42,10 @@
 """Age of the reader's store view above which its answers are not used;
 covers a poll, its retry after a failure and a query."""
 
+UNSEEN_REGISTRATION_DELAY_S = 0.05
+"""Longest delay to the next update while the view does not show this VM's own
+registration, without which it can serve little."""
+
 BATCH_DELAY_S = 0.1
 """Delay after changes, so that a burst of them takes few calls."""
 
@@ -82,6 +86,8 @@
             nursery.start_soon(self._keep_watching)
             while True:
                 delay_s = await self._update_view()
+                if self._node.is_registration_unseen:
+                    delay_s = min(delay_s, UNSEEN_REGISTRATION_DELAY_S)
                 with trio.move_on_after(delay_s):
                     await self._view_exchange.wait_notification()
                     self._readers.clear_avoided()
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -38,11 +38,14 @@
         State of the VM.
     store : ports.store.Store
         The platform's store.
+    on_registered : callable
+        Called after each registration that the store has accepted.
     """
 
-    def __init__(self, node, store):
+    def __init__(self, node, store, on_registered):
         self._node = node
         self._store = store
+        self._on_registered = on_registered
         self._lease = 0
         self._lease_opened_at = None
         min_lease_s = node.settings.platform.least_lease_ms / 1000
@@ -64,6 +67,7 @@
             except exceptions.LeaseLostError:
                 self._lease = 0
                 self._lease_opened_at = None
+                self._node.is_registration_written = False
                 logger.warning(
                     "lease expired; registering again",
                     extra={"event": "lease_lost"},
@@ -124,3 +128,9 @@
             self._lease,
         )
         await self._store.commit({}, [write])
+        self._node.is_registration_written = True
+        logger.info(
+            "registered",
+            extra={"event": "member_registered", "is_stable": is_stable},
+        )
+        self._on_registered()
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -41,7 +41,9 @@
     Notes
     -----
     `limits` is set by `proxy.daemon.Proxy`. `lease_until` is the clock time
-    in seconds up to which the VM's lease lasts at least.
+    in seconds up to which the VM's lease lasts at least, and
+    `is_registration_written` is whether the store has accepted the VM's
+    registration under it.
     """
 
     def __init__(self, settings, boot, decode, dialect):
@@ -67,6 +69,7 @@
         self.metrics = metrics.MetricsRegistry()
         self.limits = None
         self.lease_until = -math.inf
+        self.is_registration_written = False
         self._store_regained = trio.Event()
         self._log_positions = {}
         self._primary_usages = {}
@@ -76,6 +79,12 @@
         """Identity of this run of the daemon, ``VM/boot``."""
         return f"{self.settings.vm.name}/{self.boot}"
 
+    @property
+    def is_registration_unseen(self):
+        """Whether the view does not show this VM's registration yet."""
+        is_seen = self.primary_resolver.is_self_registered()
+        return self.is_registration_written and not is_seen
+
     def note_store_regained(self):
         """Wake the tasks that wait for the store to answer again."""
         self._store_regained.set()
--- a/src/geraniumridge/_internal/proxy/view_exchange.py
+++ b/src/geraniumridge/_internal/proxy/view_exchange.py
@@ -137,9 +137,13 @@
 
     async def notify_all(self):
         """Notify all VMs, including this one, of a change in the store."""
-        self._notified.set()
+        self.wake()
         await self._notify(self._list_others())
 
+    def wake(self):
+        """End the wait for the next change notification."""
+        self._notified.set()
+
     async def wait_notification(self):
         """Wait for the next change notification."""
         await self._notified.wait()
@@ -196,7 +200,7 @@
         return batch
 
     async def _note_notification(self, notification, sender):
-        self._notified.set()
+        self.wake()
 
 
 def _get_data(part):
--- a/tests/unit/proxy/test_follower.py
+++ b/tests/unit/proxy/test_follower.py
@@ -98,6 +98,7 @@
                 vm=types.SimpleNamespace(name=vm, domain="north")
             ),
             note_store_regained=lambda: None,
+            is_registration_unseen=False,
         )
         self.follower = follower.StoreFollower(
             self.node, self.store, self.view_exchange, lambda: None
@@ -169,6 +170,16 @@
     run("vm-2", test)
 
 
+def test_view_without_the_own_registration_is_updated_often():
+    async def test(fixture):
+        fixture.view_exchange.answer = make_answer(1)
+        fixture.node.is_registration_unseen = True
+        await fixture.run(5.5 * follower.UNSEEN_REGISTRATION_DELAY_S)
+        assert fixture.view_exchange.queries >= 4
+
+    run("vm-2", test)
+
+
 def test_answer_of_the_reader_with_an_old_view_is_not_used():
     async def test(fixture):
         old_s = follower.MAX_READER_VIEW_AGE_S + 1
