Share log positions within a domain, and keep them during a failover

Cause: a read at a replica needs a position that the primary told not long ago. The positions were also dropped when the primary was given up, so that reads which replicas could serve were refused during each failover and each cut.

Ruled out: pushing positions (the time that a datagram takes would make them seem newer than they are); asking primaries for their status (a slot and a price each).

Change: one VM a domain and group collects the newest position; a VM that lacks one asks it. Both count the age from the asking, so a position never seems newer than it is. Positions outlast the use of the primary: that one covers all commits acknowledged before it was read stays true. A session's own commit is joined to the position whatever happened to the leadership. Until now it was left out once the leadership record had changed, so that in the 0.3 s in which a VM still kept the older positions a session could have read past its own commit.

test_replicas_serve_reads_while_the_primary_is_replaced and test_session_sees_its_own_commit_while_the_primary_is_replaced fail on the code before. test_commit_under_an_earlier_leadership_sets_no_minimum asserted the opposite of the latter and is replaced by it.

--- a/src/geraniumridge/_internal/decisions/placement.py
+++ b/src/geraniumridge/_internal/decisions/placement.py
@@ -1,9 +1,6 @@
 """Choice of the target for a read that replicas may serve."""
 
-import typing
-
 from geraniumridge._internal.models import desired
-from geraniumridge._internal.models import records
 
 OTHER_DOMAIN_PENALTY_S = 0.010
 """Latency added for a target in another failure domain, for the cost of
@@ -25,27 +22,16 @@
 no replica can serve."""
 
 
-class SessionPosition(typing.NamedTuple):
-    """Log position after a session's last commit.
-
-    `lead_term` is the term of the leadership record at that commit.
-    """
-
-    lead_term: int
-    log_position: records.LogPosition
-
-
-def find_min_position(history, session_position, lead_term, since):
+def find_min_position(history, session_position, since):
     """Return the log position that a target must have reached for a read.
 
     Parameters
     ----------
     history : decisions.position_history.PositionHistory
-        Positions of the group's primary under its current leadership.
-    session_position : SessionPosition or None
-        Last commit of the session, if the route has session consistency.
-    lead_term : int
-        Term of the current leadership record.
+        Positions of the group's primary.
+    session_position : records.LogPosition or None
+        Position after the last commit of the session, if the route has
+        session consistency.
     since : float
         Commits acknowledged before this clock time, in seconds, must be
         visible to the read.
@@ -57,13 +43,9 @@
         must serve the read.
     """
     log_position = history.find_covering(since)
-    if log_position is None:
-        return None
-    if session_position is None or session_position.lead_term < lead_term:
-        # The log of a later leadership holds every commit acknowledged
-        # before it.
+    if log_position is None or session_position is None:
         return log_position
-    return max(log_position, session_position.log_position)
+    return max(log_position, session_position)
 
 
 def is_allowed(target, route, team, view, get_region):
--- a/src/geraniumridge/_internal/decisions/position_history.py
+++ b/src/geraniumridge/_internal/decisions/position_history.py
@@ -32,7 +32,6 @@
 
     def __init__(self):
         self._positions = []
-        self._newest_ever = None
         self._term = 0
 
     @property
@@ -67,16 +66,7 @@
         if self._is_redundant(sent_at):
             former = self._positions.pop()
             log_position = max(log_position, former.log_position)
-        self._newest_ever = TimedPosition(sent_at, log_position)
-        self._positions.append(self._newest_ever)
-
-    def clear(self):
-        """Remove all positions, as the VM stops using the primary.
-
-        The term stays: positions of an earlier one are still ignored. So
-        does the position that `find_newest_since` returns.
-        """
-        self._positions.clear()
+        self._positions.append(TimedPosition(sent_at, log_position))
 
     def find_covering(self, since):
         """Return the least position known to cover a point in time.
@@ -100,10 +90,7 @@
         return self._positions[index].log_position
 
     def find_newest_since(self, since):
-        """Return the newest position ever added.
-
-        It outlasts `clear`: it tells nothing of the present log, but still
-        covers the commits up to its time.
+        """Return the newest position.
 
         Parameters
         ----------
@@ -116,7 +103,7 @@
         records.LogPosition or None
             None if it was requested earlier, or if there is none.
         """
-        newest = self._newest_ever
+        newest = self.newest
         if newest is None or newest.sent_at < since:
             return None
         return newest.log_position
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -30,6 +30,7 @@
     messages.FallbackRenewalRequest: messages.FallbackGrant,
     messages.FailoverAcknowledgement: messages.AcknowledgementReceipt,
     messages.LeaseRenewalRequest: messages.LeaseRenewalAnswer,
+    messages.PositionQuery: messages.PositionAnswer,
 }
 """Messages that answer one query, identified by its number. A
 `ConfirmationAnswer` is passed to a handler, as its request goes to many
@@ -54,6 +55,9 @@
     messages.AcknowledgementReceipt,
     messages.LeaseRenewalRequest,
     messages.LeaseRenewalAnswer,
+    messages.PositionQuery,
+    messages.PositionAnswer,
+    messages.PositionNotice,
 )
 _TYPE_NUMBERS = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -132,3 +132,24 @@
   2: required bool is_renewed
   3: required bool is_lost
 }
+
+/** Asks a neighbour for its newest log position of a group's primary. */
+struct PositionQuery {
+  1: required i64 number
+  2: required string group
+}
+
+/** Answers a position query. The statement that read the position was sent
+    `age_ms` before the answer; the age is negative without a position. */
+struct PositionAnswer {
+  1: required i64 number
+  2: required i64 term
+  3: required i64 position
+  4: required i64 age_ms
+}
+
+/** Tells the keeper of a group's positions that `vm` has a new one. */
+struct PositionNotice {
+  1: required string vm
+  2: required string group
+}
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -14,6 +14,7 @@
 from geraniumridge._internal.proxy import lease_relay
 from geraniumridge._internal.proxy import limits
 from geraniumridge._internal.proxy import membership
+from geraniumridge._internal.proxy import position_exchange
 from geraniumridge._internal.proxy import primary_revocation
 from geraniumridge._internal.proxy import quorum_exchange
 from geraniumridge._internal.proxy import session
@@ -94,6 +95,9 @@
         self._nursery = None
         self._applied_revision = 0
         node.limits = limits.Limits(node, self._peers)
+        node.position_exchange = position_exchange.PositionExchange(
+            node, self._peers
+        )
         self._quorum_exchange = quorum_exchange.QuorumExchange(
             node, self._peers
         )
@@ -115,6 +119,7 @@
         self._nursery = nursery
         await self._peers.start(nursery)
         self._lease_relay.start(nursery)
+        self._node.position_exchange.start(nursery)
         nursery.start_soon(self._follower.run)
         nursery.start_soon(self._membership.run)
         nursery.start_soon(self._target_recorder.run)
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -40,10 +40,10 @@
 
     Notes
     -----
-    `limits` is set by `proxy.daemon.Proxy`. `lease_until` is the clock time
-    in seconds up to which the VM's lease lasts at least, and
-    `is_registration_written` is whether the store has accepted the VM's
-    registration under it.
+    `limits` and `position_exchange` are set by `proxy.daemon.Proxy`.
+    `lease_until` is the clock time in seconds up to which the VM's lease
+    lasts at least, and `is_registration_written` is whether the store has
+    accepted the VM's registration under it.
     """
 
     def __init__(self, settings, boot, decode, dialect):
@@ -68,6 +68,7 @@
         self.pools = pool.ConnectionPools(dialect)
         self.metrics = metrics.MetricsRegistry()
         self.limits = None
+        self.position_exchange = None
         self.lease_until = -math.inf
         self.is_registration_written = False
         self._store_regained = trio.Event()
@@ -100,11 +101,6 @@
             group, position_history.PositionHistory()
         )
 
-    def get_lead_term(self, group):
-        """Return the term of a group's leadership record, 0 without one."""
-        lead = self.view.get_lead(group)
-        return lead.term if lead else 0
-
     def get_primary_usage(self, group):
         """Return this VM's use of a group's primary."""
         found = self._primary_usages.get(group)
--- a/src/geraniumridge/_internal/proxy/primary_revocation.py
+++ b/src/geraniumridge/_internal/proxy/primary_revocation.py
@@ -168,6 +168,5 @@
         )
         target = usage.target
         usage.end_epoch()
-        self._node.get_log_positions(group).clear()
         if target is not None:
             self._node.pools.get(target).abort_busy()
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -47,6 +47,8 @@
         statements.Answer
             The final answer, or the refusal when the budget is used up.
         """
+        if is_read:
+            await self._fetch_position(context)
         while budget.may_continue():
             destination = self.choose_destination(
                 context, is_read, budget.excluded
@@ -135,16 +137,22 @@
         is_primary = primary is not None and best.id == primary.id
         return attempt.Destination(best, min_position, is_primary)
 
+    async def _fetch_position(self, context):
+        """Get a log position for a read that replicas may serve."""
+        route = context.route
+        if route.consistency is not desired.Consistency.PRIMARY:
+            since = _get_covered_time(route)
+            await self._node.position_exchange.fetch(route.group, since)
+
     def _find_min_position(self, context):
         route = context.route
         session_position = None
         if route.consistency is desired.Consistency.SESSION:
             session_position = context.session.get_commit_position(route.group)
-        since = clock.now() - route.max_staleness_s + TRANSIT_MARGIN_S
-        positions = self._node.get_log_positions(route.group)
-        lead_term = self._node.get_lead_term(route.group)
         return placement.find_min_position(
-            positions, session_position, lead_term, since
+            self._node.get_log_positions(route.group),
+            session_position,
+            _get_covered_time(route),
         )
 
     def _estimate_wait(self, context, target, min_position, now):
@@ -184,3 +192,8 @@
         allowance = rates.Allowance(group_settings.warmup_per_s / members, 1.0)
         bucket = self._node.pools.get(target.id).warmup
         return bucket.take(allowance, 1, now) > 0
+
+
+def _get_covered_time(route):
+    """Return the clock time whose commits a read of a route must see."""
+    return clock.now() - route.max_staleness_s + TRANSIT_MARGIN_S
--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -3,7 +3,6 @@
 import logging
 import typing
 
-from geraniumridge._internal.decisions import placement
 from geraniumridge._internal.kernel import registry
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.proxy import admission
@@ -81,16 +80,14 @@
         return state.transaction_idle_timeout_s
 
     def get_commit_position(self, group):
-        """Return the `placement.SessionPosition` of a group, or None."""
+        """Return the log position of the last commit, or None."""
         return self._commit_positions.get(group)
 
     def note_commit(self, group, position):
         """Record the log position of a commit of the session."""
         if position is not None:
-            lead_term = self._node.get_lead_term(group)
-            committed = placement.SessionPosition(lead_term, position)
             self._commit_positions[group] = max(
-                committed, self._commit_positions.get(group, committed)
+                position, self._commit_positions.get(group, position)
             )
 
     def check_start(self):
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -82,6 +82,26 @@
     assert len(cluster.promotion_server.promotion_calls) == 1
 
 
+@run_in_cluster
+async def test_replicas_serve_reads_while_the_primary_is_replaced(
+    cluster, proxy
+):
+    """Positions that the former primary told still hold for older commits."""
+    caller = await cluster.connect(proxy, "stock")
+    writer = await cluster.connect(proxy)
+    assert is_success(await writer.query("WRITE a 1"))
+    await wait_startup_delay(cluster)
+    assert is_success(await writer.query("WRITE a 2"))
+    crashed_at = trio.current_time()
+    cluster.group.instances["i-0"].crash()
+    cluster.nursery.start_soon(write_until_acknowledged, writer, "after")
+    await proxies.wait_until(lambda: cluster.store.get(LEAD_KEY))
+    assert not cluster.promotion_server.promotion_calls
+    # The route allows reads that are 1.5 s old.
+    assert trio.current_time() - crashed_at < 1.2
+    assert is_success(await caller.query("READ a"))
+
+
 @run_in_cluster
 async def test_replica_with_all_commits_is_promoted(cluster, proxy):
     cluster.group.instances["i-1"].ignores_replication = True
--- a/tests/unit/decisions/test_placement.py
+++ b/tests/unit/decisions/test_placement.py
@@ -20,24 +20,26 @@
 
 def test_no_minimum_position_without_a_recent_one():
     history = make_history((1.0, LogPosition(1, 5)))
-    assert placement.find_min_position(history, None, 0, 2.0) is None
+    assert placement.find_min_position(history, None, 2.0) is None
 
 
 def test_session_sees_its_own_commit():
     history = make_history((1.0, LogPosition(1, 5)))
-    own = placement.SessionPosition(0, LogPosition(1, 9))
-    assert placement.find_min_position(history, own, 0, 0.5) == LogPosition(
-        1, 9
-    )
+    own = LogPosition(1, 9)
+    assert placement.find_min_position(history, own, 0.5) == own
 
 
-def test_commit_under_an_earlier_leadership_sets_no_minimum():
-    """Every later primary's log holds a commit under an earlier record."""
-    history = make_history((1.0, LogPosition(1, 5)))
-    own = placement.SessionPosition(0, LogPosition(1, 9))
-    assert placement.find_min_position(history, own, 2, 0.5) == LogPosition(
-        1, 5
-    )
+def test_session_sees_its_own_commit_while_the_primary_is_replaced():
+    """Older positions of the former primary are still known then."""
+    history = make_history((1.0, LogPosition(1, 5)), (2.0, LogPosition(1, 9)))
+    own = LogPosition(1, 9)
+    assert placement.find_min_position(history, own, 0.5) == own
+
+
+def test_position_of_a_later_term_covers_a_commit_of_an_earlier_one():
+    history = make_history((1.0, LogPosition(2, 3)))
+    own = LogPosition(1, 9)
+    assert placement.find_min_position(history, own, 0.5) == LogPosition(2, 3)
 
 
 def make_load(position=0, outstanding=0):
--- a/tests/unit/decisions/test_position_history.py
+++ b/tests/unit/decisions/test_position_history.py
@@ -38,21 +38,11 @@
     assert history.find_covering(1.5) == LogPosition(1, 10)
 
 
-def test_clear_removes_all_positions():
-    history = position_history.PositionHistory()
-    history.add(1.0, LogPosition(1, 10))
-    history.clear()
-    assert history.find_covering(0.0) is None
-    assert history.newest is None
-
-
-def test_newest_position_is_known_after_the_vm_stopped_using_the_primary():
+def test_newest_position_is_returned_if_it_is_new_enough():
     history = position_history.PositionHistory()
     assert history.find_newest_since(0.0) is None
     history.add(1.0, LogPosition(1, 10))
     history.add(2.0, LogPosition(1, 20))
-    history.clear()
-    history.clear()
     assert history.find_newest_since(0.5) == LogPosition(1, 20)
     assert history.find_newest_since(2.0) == LogPosition(1, 20)
     assert history.find_newest_since(2.5) is None
--- a/tests/unit/proxy/test_datagram_handlers.py
+++ b/tests/unit/proxy/test_datagram_handlers.py
@@ -6,17 +6,20 @@
 from hypothesis import strategies as st
 import trio
 
+from geraniumridge._internal.decisions import position_history
 from geraniumridge._internal.decisions import quorum
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.decisions import view_age
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
+from geraniumridge._internal.models import records
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.ports import store
 from geraniumridge._internal.proxy import acknowledgement_exchange
 from geraniumridge._internal.proxy import lease_relay
 from geraniumridge._internal.proxy import limits
+from geraniumridge._internal.proxy import position_exchange
 from geraniumridge._internal.proxy import quorum_exchange
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
@@ -98,6 +101,15 @@
         revision=numbers,
     ),
     st.builds(messages.AcknowledgementReceipt, number=numbers),
+    st.builds(messages.PositionQuery, number=numbers, group=names),
+    st.builds(
+        messages.PositionAnswer,
+        number=numbers,
+        term=numbers,
+        position=numbers,
+        age_ms=numbers,
+    ),
+    st.builds(messages.PositionNotice, vm=names, group=names),
     st.builds(
         messages.LeaseRenewalRequest, number=numbers, vm=names, lease=numbers
     ),
@@ -139,6 +151,8 @@
     team = desired.Team("team", rate_per_s=LARGE_LIMIT, burst=LARGE_LIMIT)
     age = view_age.ViewAge()
     age.confirm(now)
+    positions = position_history.PositionHistory()
+    positions.add(now, records.LogPosition(1, 5))
     node = types.SimpleNamespace(
         view=types.SimpleNamespace(
             state=types.SimpleNamespace(
@@ -156,6 +170,7 @@
         confirmations=quorum.QuorumConfirmations(),
         acknowledgements=succession.Acknowledgements(),
         lease_until=now + 3600,
+        get_log_positions=lambda group: positions,
         primary_resolver=types.SimpleNamespace(
             is_self_registered=lambda: True
         ),
@@ -169,6 +184,7 @@
     limits.Limits(node, peers)
     exchange = view_exchange.ViewExchange(node, peers)
     lease_relay.LeaseRelay(node, None, peers, exchange)
+    position_exchange.PositionExchange(node, peers)
     quorum_exchange.QuorumExchange(node, peers)
     acknowledgement_exchange.AcknowledgementExchange(node, peers)
     return peers
