Handle datagrams one by one, whatever a handler raises

Cause: an unexpected error in the handler of a datagram, or a message type that has none, ended the receiving task and with it the daemon. Handlers are fuzzed, but nothing held for what the fuzzing does not draw.

Change: the error is logged with its trace and the next datagram is received; the socket is closed when the task ends.

test_handler_that_fails_does_not_end_the_endpoint and test_message_without_a_handler_is_ignored fail on the code before.

--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -195,14 +195,25 @@
             pending.answered.set()
 
     async def _receive(self):
-        while True:
-            try:
-                data, sender = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-                message = decode(data)
-            except (OSError, exceptions.ProtocolError) as error:
-                logger.info(
-                    "datagram dropped",
-                    extra={"event": "datagram_dropped", "why": str(error)},
-                )
-                continue
+        with self._socket:
+            while True:
+                await self._receive_one()
+
+    async def _receive_one(self):
+        """Receive a datagram and handle it; nothing in it ends the daemon."""
+        try:
+            data, sender = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            message = decode(data)
+        except (OSError, exceptions.ProtocolError) as error:
+            logger.info(
+                "datagram dropped",
+                extra={"event": "datagram_dropped", "why": str(error)},
+            )
+            return
+        try:
             await self.dispatch(message, sender)
+        except Exception:
+            logger.exception(
+                "datagram not handled",
+                extra={"event": "fault", "type": type(message).__name__},
+            )
--- a/tests/unit/network/test_datagrams.py
+++ b/tests/unit/network/test_datagrams.py
@@ -205,3 +205,45 @@
     query, make_answer
 ):
     assert run_query(query, make_answer) is None
+
+
+def test_handler_that_fails_does_not_end_the_endpoint():
+    """An unexpected error in one message must not stop all others."""
+
+    async def main():
+        peers = datagrams.Peers("127.0.0.1:0")
+        handled = []
+
+        async def handle(message, sender):
+            if message.vm == "bad":
+                raise RuntimeError("unexpected")
+            handled.append(message.vm)
+
+        peers.handle(datagrams.messages.ChangeNotification, handle)
+        async with trio.open_nursery() as nursery:
+            await peers.start(nursery)
+            address = peers._socket.getsockname()
+            for vm in ("bad", "good"):
+                notification = datagrams.messages.ChangeNotification(vm=vm)
+                await peers.send(notification, address)
+            with trio.fail_after(1):
+                while not handled:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        assert handled == ["good"]
+
+    trio.run(main)
+
+
+def test_message_without_a_handler_is_ignored():
+    async def main():
+        peers = datagrams.Peers("127.0.0.1:0")
+        async with trio.open_nursery() as nursery:
+            await peers.start(nursery)
+            address = peers._socket.getsockname()
+            notification = datagrams.messages.ChangeNotification(vm="vm-2")
+            await peers.send(notification, address)
+            await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
