Let a VM that starts again continue its registration

Cause: a VM that restarts registers as a new member for four seconds, during which others limit its teams, and then once more as a stable one.

Change: a VM waits up to 0.3 s for its view before it registers. If the view shows a stable registration of a former run at the same address, it replaces that under its revision and is stable at once: no VM can have followed the former run while its entry stayed. One write less for each restart.

test_vm_that_starts_again_is_stable_if_its_entry_is_still_there fails on the code before.

--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+import types
 
 import trio
 
@@ -21,6 +22,12 @@
 RENEW_INTERVAL_S = 1.2
 """Interval between renewals; two may fail before the lease expires."""
 
+FIRST_VIEW_WAIT_S = 0.3
+"""Longest time that the first registration waits for the store view."""
+
+FIRST_VIEW_POLL_S = 0.01
+"""Interval between looks at the view meanwhile."""
+
 DIRECT_ATTEMPT_INTERVAL_S = 4.0
 """Interval at which a VM whose lease a neighbour renews tries the store."""
 
@@ -67,6 +74,7 @@
 
     async def run(self):
         """Stay registered until cancelled."""
+        await self._wait_first_view()
         retry_backoff = backoff.Backoff(MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
         while True:
             try:
@@ -89,6 +97,12 @@
                 with trio.move_on_after(retry_backoff.next_delay_s()):
                     await self._node.wait_store_regained()
 
+    async def _wait_first_view(self):
+        """Wait a moment for the view, which shows a former registration."""
+        with trio.move_on_after(FIRST_VIEW_WAIT_S):
+            while self._node.view.state is None:
+                await trio.sleep(FIRST_VIEW_POLL_S)
+
     async def leave(self):
         """End the lease, which removes the entry from the store."""
         if self._lease:
@@ -113,6 +127,9 @@
         now = clock.now()
         if self._lease_opened_at is None:
             self._lease_opened_at = now
+            if await self._continue_registration():
+                self._lease_opened_at = now - rates.STABLE_AFTER_S
+                return
         is_stable = now - self._lease_opened_at >= rates.STABLE_AFTER_S
         if not self._is_registered(is_stable):
             await self._register(is_stable)
@@ -141,12 +158,41 @@
                 raise
             return sent_at
 
+    async def _continue_registration(self):
+        """Replace the registration of a former run of this VM, if any.
+
+        All VMs know that one, and none has followed it while it stays, so
+        this run is a stable member at once.
+
+        Returns
+        -------
+        bool
+            Whether there was one, and it had not been removed.
+        """
+        settings = self._node.settings
+        former = self._node.view.members.get(settings.vm.name)
+        can_continue = (
+            former is not None
+            and former.is_settled
+            and former.boot != self._node.boot
+            and former.address == settings.peer_address
+        )
+        if not can_continue:
+            return False
+        key = fleet.make_member_key(settings.vm.name)
+        expected = {key: self._node.view.get_revision(key)}
+        try:
+            await self._register(True, expected)
+        except exceptions.ConflictError:
+            return False
+        return True
+
     def _is_registered(self, is_stable):
         member = self._node.view.members.get(self._node.settings.vm.name)
         registered = member and (member.boot, member.is_settled)
         return registered == (self._node.boot, is_stable)
 
-    async def _register(self, is_stable):
+    async def _register(self, is_stable, expected=types.MappingProxyType({})):
         settings = self._node.settings
         member = fleet.Member(
             settings.vm.name,
@@ -160,7 +206,7 @@
             fleet.encode_record(member),
             self._lease,
         )
-        await self._store.commit({}, [write])
+        await self._store.commit(expected, [write])
         self._node.is_registration_written = True
         logger.info(
             "registered",
--- /dev/null
+++ b/tests/functional/test_proxy_membership.py
@@ -0,0 +1,41 @@
+"""Registration of a VM that starts, and of one that starts again."""
+
+import pytest
+import trio
+
+from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.models import fleet
+from lib import proxies
+
+MEMBER_KEY = fleet.make_member_key("vm-1")
+
+
+async def wait_stable(proxy):
+    """Wait until a proxy is a stable member."""
+    await proxies.wait_until(
+        lambda: proxy.node.view.members["vm-1"].is_settled,
+        rates.STABLE_AFTER_S + 3.0,
+    )
+
+
+@pytest.mark.parametrize("was_removed", [False, True])
+def test_vm_that_starts_again_is_stable_if_its_entry_is_still_there(
+    was_removed,
+):
+    """No other VM can have become a limiter in its place then."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            former = await cluster.add_proxy("vm-1")
+            await wait_stable(former)
+            former.stop()
+            if was_removed:
+                cluster.store.delete(MEMBER_KEY)
+            restarted = await cluster.restart_proxy(former, "boot-2")
+            member = restarted.node.view.members["vm-1"]
+            assert member.boot == "boot-2"
+            assert member.is_settled is not was_removed
+            await trio.sleep(2.0)
+            assert cluster.store.get(MEMBER_KEY)["boot"] == "boot-2"
+
+    trio.run(main)
--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -152,8 +152,18 @@
 
         Only a registered proxy may use primaries.
         """
-        settings = self.make_settings(name, domain)
-        running = RunningProxy(self, settings)
+        return await self._start_proxy(
+            RunningProxy(self, self.make_settings(name, domain))
+        )
+
+    async def restart_proxy(self, former, boot):
+        """Start a proxy that was stopped again, as another run."""
+        await former.ended.wait()
+        return await self._start_proxy(
+            RunningProxy(self, former.settings, boot)
+        )
+
+    async def _start_proxy(self, running):
         await self.nursery.start(running.run)
         await wait_until(
             lambda: running.node.primary_resolver.is_self_registered()
@@ -227,12 +237,12 @@
 class RunningProxy:
     """Proxy with its settings, dialect and store client."""
 
-    def __init__(self, cluster, settings):
+    def __init__(self, cluster, settings, boot=None):
         self.settings = settings
         self.dialect = PartitionableDialect()
         self.node = node.Node(
             settings,
-            f"boot-{settings.listen.callers}",
+            boot or f"boot-{settings.listen.callers}",
             records.decode_record,
             self.dialect,
         )
@@ -243,6 +253,7 @@
             promotion_client.PromotionClient(settings.platform.duties),
         )
         self._cancel_scope = trio.CancelScope()
+        self.ended = trio.Event()
 
     def stop(self):
         """End the proxy at once, as a loss of power does."""
@@ -259,6 +270,7 @@
         """Run the proxy until the cluster stops."""
         with self._cancel_scope:
             await self._run(task_status)
+        self.ended.set()
 
     async def _run(self, task_status):
         listen = self.settings.listen
