Go on after an unexpected error in a background task

Cause: an exception in a periodic check, the follower of the store, the registration or a failover ended all tasks and with them the daemon.

test_error_in_a_periodic_check_does_not_end_the_daemon fails on the code before.

--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -21,6 +21,7 @@
 from geraniumridge._internal.proxy import target_recorder
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
+from geraniumridge._internal.utils import supervision
 
 logger = logging.getLogger(__name__)
 
@@ -92,7 +93,7 @@
             node, store, promoter, self._view_exchange
         )
         self._target_recorder = target_recorder.TargetRecorder(node, store)
-        self._nursery = None
+        self._supervisor = None
         self._applied_revision = 0
         node.limits = limits.Limits(node, self._peers)
         node.position_exchange = position_exchange.PositionExchange(
@@ -115,16 +116,19 @@
         return self._node.view_age.is_within(clock.now(), MAX_READY_AGE_S)
 
     async def start(self, nursery):
-        """Start the background tasks."""
-        self._nursery = nursery
+        """Start the background tasks, none of whose errors ends the others."""
+        self._supervisor = supervision.Supervisor(nursery)
         await self._peers.start(nursery)
-        self._lease_relay.start(nursery)
-        self._node.position_exchange.start(nursery)
-        nursery.start_soon(self._follower.run)
-        nursery.start_soon(self._membership.run)
-        nursery.start_soon(self._target_recorder.run)
-        nursery.start_soon(self._run_checks)
-        nursery.start_soon(self._close_unused_connections)
+        self._lease_relay.start(self._supervisor)
+        self._node.position_exchange.start(self._supervisor)
+        for task in (
+            self._follower.run,
+            self._membership.run,
+            self._target_recorder.run,
+            self._run_checks,
+            self._close_unused_connections,
+        ):
+            self._supervisor.keep_running(task)
 
     async def open_session(self, database, key):
         """Return a new session and None, or None and the refusal."""
@@ -230,11 +234,11 @@
             await trio.sleep(CHECK_INTERVAL_S)
             self._node.view.expire(clock.now())
             self._node.limits.refresh()
-            self._node.limits.start_due_renewals(self._nursery)
-            self._quorum_exchange.start_due_request(self._nursery)
+            self._node.limits.start_due_renewals(self._supervisor)
+            self._quorum_exchange.start_due_request(self._supervisor)
             self._primary_revoker.stop_using_unconfirmed()
             if not self.is_stopping:
-                self._failover_monitor.check(self._nursery)
+                self._failover_monitor.check(self._supervisor)
 
     async def _close_unused_connections(self):
         while True:
@@ -258,7 +262,7 @@
         self._node.pools.set_limits(
             self._node.view, self._node.settings.vm.name
         )
-        self._primary_revoker.stop_using_replaced(self._nursery)
+        self._primary_revoker.stop_using_replaced(self._supervisor)
         self._view_changed.set()
         self._view_changed = trio.Event()
 
--- a/tests/functional/test_proxy_membership.py
+++ b/tests/functional/test_proxy_membership.py
@@ -39,3 +39,23 @@
             assert cluster.store.get(MEMBER_KEY)["boot"] == "boot-2"
 
     trio.run(main)
+
+
+@proxies.run_in_cluster
+async def test_error_in_a_periodic_check_does_not_end_the_daemon(
+    cluster, proxy
+):
+    """It is logged, and the check runs again."""
+    expire = proxy.node.view.expire
+    calls = []
+
+    def fail_once(now):
+        calls.append(now)
+        if len(calls) == 1:
+            raise KeyError("unexpected")
+        expire(now)
+
+    proxy.node.view.expire = fail_once
+    await proxies.wait_until(lambda: len(calls) > 3)
+    caller = await cluster.connect(proxy)
+    assert proxies.is_success(await caller.query("WRITE a 1"))
