Report a silent primary to the VMs that rank first for its group

Cause: a failover is begun by the VM that ranks first among those whose statements a primary leaves unanswered, each rank waiting 50 ms longer, up to a second. In a fleet of 195 VMs few have sent the primary something in the first half second, and their ranks are beyond twenty.

Change: a VM that finds a primary silent tells the three VMs that rank first, at most once a second; these ask the primary for its status, as always before a failover for silence, and begin at once. A connection that does not open is given up after 0.3 s instead of 0.5 s.

test_vm_that_sends_a_primary_nothing_replaces_it_when_others_report_it fails on the code before.

--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -58,6 +58,7 @@
     messages.PositionQuery,
     messages.PositionAnswer,
     messages.PositionNotice,
+    messages.PrimarySuspicion,
 )
 _TYPE_NUMBERS = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -153,3 +153,9 @@
   1: required string vm
   2: required string group
 }
+
+/** Tells a VM that the primary of a group does not answer the sender. */
+struct PrimarySuspicion {
+  1: required string group
+  2: required string target
+}
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -18,6 +18,7 @@
 from geraniumridge._internal.proxy import primary_revocation
 from geraniumridge._internal.proxy import quorum_exchange
 from geraniumridge._internal.proxy import session
+from geraniumridge._internal.proxy import suspicion_exchange
 from geraniumridge._internal.proxy import target_recorder
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
@@ -90,7 +91,11 @@
             lambda: self._membership.lease,
         )
         self._failover_monitor = failover.FailoverMonitor(
-            node, store, promoter, self._view_exchange
+            node,
+            store,
+            promoter,
+            self._view_exchange,
+            suspicion_exchange.SuspicionExchange(node, self._peers),
         )
         self._target_recorder = target_recorder.TargetRecorder(node, store)
         self._supervisor = None
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -96,13 +96,16 @@
         Client that promotes the next primary.
     view_exchange : proxy.view_exchange.ViewExchange
         Notifies the other VMs of changed leadership records.
+    suspicions : proxy.suspicion_exchange.SuspicionExchange
+        Reports on primaries that do not answer some VMs.
     """
 
-    def __init__(self, node, store, promoter, view_exchange):
+    def __init__(self, node, store, promoter, view_exchange, suspicions):
         self._node = node
         self._store = store
         self._promoter = promoter
         self._view_exchange = view_exchange
+        self._suspicions = suspicions
         self._rounds = rounds.RoundRobin(GROUPS_PER_CHECK)
         self._running_groups = set()
         self._reason_since = {}
@@ -140,7 +143,7 @@
             self._reason_since.pop(group, None)
             self._check_takeover(nursery, group, lead, now)
             return
-        reason = self._find_reason(group, now)
+        reason = self._find_reason(nursery, group, now)
         if reason is None:
             self._reason_since.pop(group, None)
             return
@@ -228,7 +231,7 @@
         )
         return min(MAX_RANK_DELAY_S, rank * RANK_DELAY_S)
 
-    def _find_reason(self, group, now):
+    def _find_reason(self, nursery, group, now):
         view = self._node.view
         targets = view.list_group(group)
         if not targets:
@@ -249,7 +252,10 @@
             if usage.not_primary_answers >= NOT_PRIMARY_ANSWERS_LIMIT:
                 return Reason("says it is not primary")
         if self._is_primary_silent(primary, now):
+            self._suspicions.report(nursery, group, primary.id, now)
             return Reason("silent", may_keep_old=True, needs_probe=True)
+        if self._suspicions.is_suspected(group, primary.id, now):
+            return Reason("suspected", may_keep_old=True, needs_probe=True)
         return None
 
     def _has_successor(self, targets, primary):
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -17,9 +17,10 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.3
 """Timeout of opening a connection. A lost TCP SYN is sent again only
-after a second, so a new attempt is faster."""
+after a second, so a new attempt is faster, and a read may then still be in
+time at another target."""
 
 IDLE_TIMEOUT_S = 20.0
 """Time after which an idle connection is closed."""
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -531,6 +531,34 @@
     trio.run(main)
 
 
+def test_vm_that_sends_a_primary_nothing_replaces_it_when_others_report_it():
+    """Only the VM that ranks last has callers."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            members = [
+                await cluster.add_proxy(f"vm-{number}") for number in range(8)
+            ]
+            await trio.sleep(succession.FENCE_TIMEOUT_S + 0.2)
+            ranked = rendezvous.rank_nodes(
+                "ledger", members[0].node.view.members
+            )
+            last = next(
+                proxy
+                for proxy in members
+                if proxy.settings.vm.name == ranked[-1]
+            )
+            caller = await cluster.connect(last)
+            assert is_success(await caller.query("WRITE a 1"))
+            cluster.group.instances["i-0"].crash()
+            cluster.nursery.start_soon(write_until_acknowledged, caller, "b")
+            await proxies.wait_until(lambda: cluster.store.get(LEAD_KEY))
+            holder = cluster.store.get(LEAD_KEY)["holder"].partition("/")[0]
+            assert holder in ranked[:3]
+
+    trio.run(main)
+
+
 def test_failover_is_fast_while_two_domains_cannot_reach_each_other():
     """The store, which both reach, carries the acknowledgements between."""
 
--- a/tests/unit/proxy/test_datagram_handlers.py
+++ b/tests/unit/proxy/test_datagram_handlers.py
@@ -21,6 +21,7 @@
 from geraniumridge._internal.proxy import limits
 from geraniumridge._internal.proxy import position_exchange
 from geraniumridge._internal.proxy import quorum_exchange
+from geraniumridge._internal.proxy import suspicion_exchange
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
 from lib import fleets
@@ -110,6 +111,7 @@
         age_ms=numbers,
     ),
     st.builds(messages.PositionNotice, vm=names, group=names),
+    st.builds(messages.PrimarySuspicion, group=names, target=names),
     st.builds(
         messages.LeaseRenewalRequest, number=numbers, vm=names, lease=numbers
     ),
@@ -185,6 +187,7 @@
     exchange = view_exchange.ViewExchange(node, peers)
     lease_relay.LeaseRelay(node, None, peers, exchange)
     position_exchange.PositionExchange(node, peers)
+    suspicion_exchange.SuspicionExchange(node, peers)
     quorum_exchange.QuorumExchange(node, peers)
     acknowledgement_exchange.AcknowledgementExchange(node, peers)
     return peers
