Split token buckets and the choice of holders from the limits of teams

rates.py had grown to 561 lines with three jobs: buckets (token_bucket), which VMs limit a team (limit_holders), and the division of a limit (rates).

--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -13,7 +13,7 @@
 import math
 import typing
 
-from geraniumridge._internal.utils import rendezvous
+from geraniumridge._internal.decisions import token_bucket
 
 RESERVED_SHARE = 0.10
 """Share of a limit that is split evenly between the domains, so that each
@@ -22,18 +22,7 @@
 LIMITER_SHARE = 0.92
 """Share of a limit that the limiter grants. Limits may be exceeded by a
 tenth over a window of five seconds; both shares and the tokens granted
-before the window, `GRANT_LIFETIME_S` of rate, stay below that."""
-
-GRANT_LIFETIME_S = 0.4
-"""Lifetime of granted tokens. The unused tokens of all VMs must fit into
-the tolerance of the limit, a tenth of the rate over five seconds."""
-
-STABLE_AFTER_S = 4.0
-"""Time since the opening of its lease after which a VM is a stable member.
-A limiter whose store view is younger than this has seen the VM by then."""
-
-GRANT_END_MARGIN_S = 0.1
-"""Time by which a limiter stops granting before its successor may begin."""
+before the window, `token_bucket.GRANT_LIFETIME_S` of rate, stay below that."""
 
 MAX_FALLBACK_SHARE = 0.8
 """Largest share of the limiter's rate that the fallback rates of all
@@ -74,11 +63,6 @@
 """How long the fallback rate applies at a standby whose store view shows
 that the limiter is still registered."""
 
-MAX_REGISTRATION_AGE_S = 2.2
-"""Age up to which the store view shows that a limiter is registered. While
-the store answers, polls of it and queries to the domain's reader confirm
-the view more often."""
-
 RESERVED_SLACK_SHARE = 0.4
 """Part of the slack on a limit that the reserves of all domains may hold."""
 
@@ -88,50 +72,6 @@
 window."""
 
 
-class Allowance(typing.NamedTuple):
-    """A rate in tokens per second and a burst in tokens."""
-
-    rate: float
-    burst: float
-
-    def scale(self, share):
-        """Return this allowance multiplied by a share."""
-        return Allowance(self.rate * share, self.burst * share)
-
-
-class Bucket:
-    """Token bucket that starts nearly empty.
-
-    Others may have used its tokens before.
-
-    Parameters
-    ----------
-    now : float
-        Clock time, in seconds.
-    level : float, optional
-        Tokens that it starts with.
-    """
-
-    def __init__(self, now, level=0.0):
-        self._level = level
-        self._filled_at = now
-
-    def take(self, allowance, wanted, now):
-        """Take up to `wanted` whole tokens and return their number."""
-        gained = max(0.0, now - self._filled_at) * allowance.rate
-        self._level = min(allowance.burst, self._level + gained)
-        self._filled_at = now
-        taken = max(0, min(wanted, int(self._level)))
-        self._level -= taken
-        return taken
-
-    def get_retry_s(self, allowance):
-        """Return the seconds until a token is available, or infinity."""
-        if allowance.rate <= 0 or allowance.burst < 1:
-            return math.inf
-        return max(0.0, (1 - self._level) / allowance.rate)
-
-
 class _Domain:
     """What a limiter keeps of one domain.
 
@@ -142,7 +82,7 @@
     """
 
     def __init__(self, now):
-        self.meter = RateMeter(now, DEMAND_WINDOW_S)
+        self.meter = token_bucket.RateMeter(now, DEMAND_WINDOW_S)
         self.fallback_rate = 0.0
         self.renewed_at = -math.inf
         self.is_in_use = False
@@ -174,7 +114,7 @@
     """
 
     def __init__(self, now, start_tokens=0.0):
-        self._bucket = Bucket(now, start_tokens)
+        self._bucket = token_bucket.Bucket(now, start_tokens)
         self._domains = {}
 
     def suspend(self):
@@ -226,7 +166,7 @@
 
     def _resume(self, now):
         if self._bucket is None:
-            self._bucket = Bucket(now)
+            self._bucket = token_bucket.Bucket(now)
         return self._bucket
 
     def _compute_fallback_rate(self, entry, allowance, now):
@@ -281,8 +221,8 @@
     """
 
     def __init__(self, now, start_tokens=0.0):
-        self._reserve = Bucket(now, start_tokens)
-        self._fallback = Bucket(now)
+        self._reserve = token_bucket.Bucket(now, start_tokens)
+        self._fallback = token_bucket.Bucket(now)
         self._fallback_rate = 0.0
         self._renewed_at = -math.inf
         self._reported_at = -math.inf
@@ -323,7 +263,9 @@
         self._limiter = limiter
         self._fallback_rate = rate
         self._renewed_at = sent_at
-        self._fallback = Bucket(sent_at + get_fallback_delay_s(rate))
+        self._fallback = token_bucket.Bucket(
+            sent_at + get_fallback_delay_s(rate)
+        )
 
     def take(self, reserve_allowance, wanted, limiter, has_recent_view, now):
         """Take up to `wanted` tokens and return their number.
@@ -347,7 +289,7 @@
             return taken
         if not self._is_fallback_valid(has_recent_view, now):
             return taken
-        allowance = Allowance(
+        allowance = token_bucket.Allowance(
             self._fallback_rate, max(1.0, self._fallback_rate)
         )
         return taken + self._fallback.take(allowance, wanted - taken, now)
@@ -374,147 +316,6 @@
     return FALLBACK_DELAY_S
 
 
-class LocalTokens:
-    """Tokens granted by a limiter that have not expired."""
-
-    def __init__(self):
-        self._batches = []
-
-    def add(self, tokens, expires_at):
-        """Add tokens that may be used until a clock time, in seconds."""
-        if tokens > 0:
-            self._batches.append([tokens, expires_at])
-
-    def take(self, now):
-        """Take one token and return whether there was one."""
-        while self._batches:
-            batch = self._batches[0]
-            if batch[1] > now and batch[0] > 0:
-                batch[0] -= 1
-                return True
-            del self._batches[0]
-        return False
-
-
-class RateMeter:
-    """Moving average of operations per second.
-
-    Parameters
-    ----------
-    now : float
-        Clock time, in seconds.
-    window_s : float
-        Time constant of the exponential decay, in seconds.
-    """
-
-    def __init__(self, now, window_s):
-        self._window_s = window_s
-        self._rate = 0.0
-        self._updated_at = now
-
-    def note(self, now, count=1):
-        """Count operations and return the updated average rate.
-
-        The rate is in operations per second.
-        """
-        elapsed = max(0.0, now - self._updated_at)
-        self._updated_at = now
-        decay = math.exp(-elapsed / self._window_s)
-        self._rate = self._rate * decay + count / self._window_s
-        return self._rate
-
-
-def find_limiter(team, members):
-    """Return the `fleet.Member` that limits a team, or None.
-
-    Parameters
-    ----------
-    team : str
-        The team.
-    members : dict
-        Registered `fleet.Member` by VM.
-    """
-    owner = rendezvous.choose_node(
-        make_limiter_key(team), list_candidates(members.values())
-    )
-    return members.get(owner)
-
-
-def find_standby(team, domain, limiter, members):
-    """Return the `fleet.Member` that is a team's standby, or None.
-
-    It is another VM than the limiter, unless the domain has only that one.
-
-    Parameters
-    ----------
-    team : str
-        The team.
-    domain : str
-        The failure domain.
-    limiter : fleet.Member or None
-        The team's limiter.
-    members : dict
-        Registered `fleet.Member` by VM.
-    """
-    candidates = list_candidates(
-        member for member in members.values() if member.domain == domain
-    )
-    if limiter is not None and candidates != [limiter.vm]:
-        candidates = [vm for vm in candidates if vm != limiter.vm]
-    owner = rendezvous.choose_node(make_standby_key(team), candidates)
-    return members.get(owner)
-
-
-def make_limiter_key(team):
-    """Return the key by which the limiter of a team is chosen."""
-    return f"limiter/{team}"
-
-
-def make_standby_key(team):
-    """Return the key by which the standby of a team is chosen."""
-    return f"standby/{team}"
-
-
-def list_candidates(members):
-    """Return the names of the VMs that may be limiters or standbys.
-
-    Only stable members are candidates, so that none begins before its
-    predecessor has seen its registration. If fewer than half of the
-    members are stable, all of them are candidates, as there is no
-    predecessor to wait for.
-
-    Parameters
-    ----------
-    members : iterable of fleet.Member
-        Registered members.
-    """
-    members = list(members)
-    stable = [member.vm for member in members if member.is_settled]
-    if 2 * len(stable) < len(members):
-        return [member.vm for member in members]
-    return stable
-
-
-def may_grant(age_s, lease_left_s):
-    """Return whether a limiter may still grant tokens.
-
-    A successor begins when the limiter's lease has ended or when the
-    successor is a stable member. The limiter may not have seen it yet, so
-    it stops before either can be the case.
-
-    Parameters
-    ----------
-    age_s : float
-        Age of the limiter's store view, in seconds.
-    lease_left_s : float
-        Least time until the limiter's lease ends, in seconds.
-    """
-    return (
-        age_s <= STABLE_AFTER_S - GRANT_END_MARGIN_S
-        and lease_left_s >= GRANT_END_MARGIN_S
-    )
-
-
 def make_reserve(limit, slack, domain_count):
     """Return the `Allowance` of one domain's reserve.
 
@@ -531,7 +332,7 @@
     if limit.burst < 1:
         return part
     burst = part.burst + RESERVED_SLACK_SHARE * slack / domain_count
-    return Allowance(part.rate, max(1.0, burst))
+    return token_bucket.Allowance(part.rate, max(1.0, burst))
 
 
 def get_start_tokens(slack, holder_count=1):
@@ -545,17 +346,3 @@
         Number of those that divide the part of the slack.
     """
     return START_SLACK_SHARE * slack / max(1, holder_count)
-
-
-def count_prefetch_tokens(rate):
-    """Return how many tokens to request in advance.
-
-    Unused tokens expire and are lost to the team, so only as many are
-    requested as the VM uses in half their lifetime.
-
-    Parameters
-    ----------
-    rate : float
-        Operations of the team at this VM per second.
-    """
-    return int(rate * GRANT_LIFETIME_S / 2)
--- a/src/geraniumridge/_internal/proxy/limit_directory.py
+++ b/src/geraniumridge/_internal/proxy/limit_directory.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import limit_holders
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.utils import clock
 from geraniumridge._internal.utils import rendezvous
@@ -74,8 +74,12 @@
 
     def retain(self, teams):
         """Forget all other teams than these."""
-        self._limiters.retain({rates.make_limiter_key(team) for team in teams})
-        self._standbys.retain({rates.make_standby_key(team) for team in teams})
+        self._limiters.retain(
+            {limit_holders.make_limiter_key(team) for team in teams}
+        )
+        self._standbys.retain(
+            {limit_holders.make_standby_key(team) for team in teams}
+        )
         self._holders.clear()
         self._own_teams = None
 
@@ -88,10 +92,10 @@
         members = view.members
         self._holders.clear()
         self._own_teams = None
-        self._limiters.update(rates.list_candidates(members.values()))
+        self._limiters.update(limit_holders.list_candidates(members.values()))
         domain = self._node.settings.vm.domain
         self._standbys.update(
-            rates.list_candidates(
+            limit_holders.list_candidates(
                 member
                 for member in members.values()
                 if member.domain == domain
@@ -101,14 +105,16 @@
     def _find_holders(self, team):
         members = self._node.view.members
         limiter = members.get(
-            self._limiters.find(rates.make_limiter_key(team))
+            self._limiters.find(limit_holders.make_limiter_key(team))
         )
         standby = members.get(
-            self._standbys.find(rates.make_standby_key(team))
+            self._standbys.find(limit_holders.make_standby_key(team))
         )
         if standby is not None and standby == limiter:
             domain = self._node.settings.vm.domain
-            standby = rates.find_standby(team, domain, limiter, members)
+            standby = limit_holders.find_standby(
+                team, domain, limiter, members
+            )
         return TeamHolders(limiter, standby)
 
     def is_self(self, member):
@@ -124,10 +130,10 @@
         if not node.primary_resolver.is_self_registered():
             return False
         age_s = node.view_age.get_age(now)
-        return rates.may_grant(age_s, node.lease_until - now)
+        return limit_holders.may_grant(age_s, node.lease_until - now)
 
     def has_recent_view(self):
         """Return whether the view shows which limiters are registered."""
         return self._node.view_age.is_within(
-            clock.now(), rates.MAX_REGISTRATION_AGE_S
+            clock.now(), limit_holders.MAX_REGISTRATION_AGE_S
         )
--- a/src/geraniumridge/_internal/proxy/limiter.py
+++ b/src/geraniumridge/_internal/proxy/limiter.py
@@ -3,6 +3,7 @@
 import logging
 
 from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.utils import clock
 
@@ -142,5 +143,5 @@
 
 def _get_allowance(limit):
     """Return the part of a team's limit that its limiter grants."""
-    allowance = rates.Allowance(limit.rate_per_s, limit.burst)
+    allowance = token_bucket.Allowance(limit.rate_per_s, limit.burst)
     return allowance.scale(rates.LIMITER_SHARE)
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.proxy import limit_directory
 from geraniumridge._internal.proxy import limiter
@@ -44,8 +44,8 @@
     """Tokens of one team at this VM, and when it may request more."""
 
     def __init__(self, now):
-        self.local_tokens = rates.LocalTokens()
-        self.demand = rates.RateMeter(now, DEMAND_WINDOW_S)
+        self.local_tokens = token_bucket.LocalTokens()
+        self.demand = token_bucket.RateMeter(now, DEMAND_WINDOW_S)
         self.request_lock = trio.Lock()
         self.limiter_retry_at = 0.0
         self.standby_retry_at = 0.0
@@ -156,7 +156,7 @@
         now = clock.now()
         if team_state.local_tokens.take(now):
             return True
-        wanted = 1 + rates.count_prefetch_tokens(rate)
+        wanted = 1 + token_bucket.count_prefetch_tokens(rate)
         if now >= team_state.limiter_retry_at:
             grant = await self._request_of_limiter(team, wanted)
             _apply_limiter_grant(team_state, grant, wanted, now)
@@ -227,5 +227,5 @@
 
 
 def _add_tokens(team_state, grant, requested_at):
-    expires_at = requested_at + rates.GRANT_LIFETIME_S
+    expires_at = requested_at + token_bucket.GRANT_LIFETIME_S
     team_state.local_tokens.add(grant.tokens, expires_at)
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import limit_holders
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
@@ -128,9 +128,9 @@
         if self._lease_opened_at is None:
             self._lease_opened_at = now
             if await self._continue_registration():
-                self._lease_opened_at = now - rates.STABLE_AFTER_S
+                self._lease_opened_at = now - limit_holders.STABLE_AFTER_S
                 return
-        is_stable = now - self._lease_opened_at >= rates.STABLE_AFTER_S
+        is_stable = now - self._lease_opened_at >= limit_holders.STABLE_AFTER_S
         if not self._is_registered(is_stable):
             await self._register(is_stable)
 
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -10,7 +10,7 @@
 
 from geraniumridge._internal.decisions import connection_share
 from geraniumridge._internal.decisions import load
-from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.utils import clock
@@ -77,7 +77,7 @@
         self._limits = connection_share.PoolLimits(1, 1)
         self._full_target = connection_share.FullTarget()
         self.load = load.TargetLoad()
-        self.warmup = rates.Bucket(clock.now())
+        self.warmup = token_bucket.Bucket(clock.now())
 
     @property
     def size(self):
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -1,7 +1,7 @@
 """Choice of the target of a statement, and retries at other targets."""
 
 from geraniumridge._internal.decisions import placement
-from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import statements
@@ -189,7 +189,9 @@
         ):
             return True
         members = max(1, len(self._node.view.members))
-        allowance = rates.Allowance(group_settings.warmup_per_s / members, 1.0)
+        allowance = token_bucket.Allowance(
+            group_settings.warmup_per_s / members, 1.0
+        )
         bucket = self._node.pools.get(target.id).warmup
         return bucket.take(allowance, 1, now) > 0
 
--- a/src/geraniumridge/_internal/proxy/standby.py
+++ b/src/geraniumridge/_internal/proxy/standby.py
@@ -1,6 +1,7 @@
 """Tokens that this VM grants in its domain while a limiter is silent."""
 
 from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.proxy import limiter
 from geraniumridge._internal.utils import clock
@@ -114,7 +115,7 @@
     def _get_reserve(self, limit):
         """Return this domain's reserve of a limit."""
         return rates.make_reserve(
-            rates.Allowance(limit.rate_per_s, limit.burst),
+            token_bucket.Allowance(limit.rate_per_s, limit.burst),
             self._node.settings.bounds.limit_slack,
             self._count_domains(),
         )
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -2,8 +2,8 @@
 
 import trio
 
+from geraniumridge._internal.decisions import limit_holders
 from geraniumridge._internal.decisions import primary_resolver
-from geraniumridge._internal.decisions import rates
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import fleet
@@ -444,7 +444,7 @@
             # VMs write their registration again once they are stable
             # members.
             await trio.sleep(
-                rates.STABLE_AFTER_S + succession.FENCE_TIMEOUT_S + 1
+                limit_holders.STABLE_AFTER_S + succession.FENCE_TIMEOUT_S + 1
             )
             caller = await cluster.connect(members[0])
             assert is_success(await caller.query("WRITE a 1"))
--- a/tests/functional/test_proxy_membership.py
+++ b/tests/functional/test_proxy_membership.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import limit_holders
 from geraniumridge._internal.models import fleet
 from lib import proxies
 
@@ -14,7 +14,7 @@
     """Wait until a proxy is a stable member."""
     await proxies.wait_until(
         lambda: proxy.node.view.members["vm-1"].is_settled,
-        rates.STABLE_AFTER_S + 3.0,
+        limit_holders.STABLE_AFTER_S + 3.0,
     )
 
 
--- a/tests/functional/test_proxy_partition.py
+++ b/tests/functional/test_proxy_partition.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import limit_holders
 from geraniumridge._internal.decisions import succession
 from lib import proxies
 from lib.proxies import is_success
@@ -128,7 +128,9 @@
                 for number, domain in enumerate(proxies.DOMAINS)
             ]
             checker = ConsistencyChecker()
-            await trio.sleep(rates.STABLE_AFTER_S + succession.FENCE_TIMEOUT_S)
+            await trio.sleep(
+                limit_holders.STABLE_AFTER_S + succession.FENCE_TIMEOUT_S
+            )
             partition = DomainPartition(cluster, members)
             async with trio.open_nursery() as nursery:
                 for number, proxy in enumerate(members):
@@ -203,7 +205,7 @@
                         nursery.start_soon(
                             counter.run, proxy, team, interval_s
                         )
-                await trio.sleep(rates.STABLE_AFTER_S + 3.0)
+                await trio.sleep(limit_holders.STABLE_AFTER_S + 3.0)
                 DomainPartition(cluster, members).begin()
                 counter.refused.clear()
                 await trio.sleep(GRANT_PERIOD_S)
--- a/tests/functional/test_proxy_path.py
+++ b/tests/functional/test_proxy_path.py
@@ -8,6 +8,7 @@
 
 from geraniumridge._internal.decisions import connection_share
 from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal.proxy import daemon
 from geraniumridge._internal.proxy import pool
 from geraniumridge._internal.utils import clock
@@ -227,7 +228,7 @@
     took_s = trio.current_time() - began_at
     served = [line for line in answers if line.startswith("COMPLETE")]
     reserve = rates.make_reserve(
-        rates.Allowance(5, 5),
+        token_bucket.Allowance(5, 5),
         proxy.settings.bounds.limit_slack,
         len(proxies.DOMAINS),
     )
--- a/tests/unit/decisions/test_rates.py
+++ b/tests/unit/decisions/test_rates.py
@@ -7,6 +7,7 @@
 import pytest
 
 from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal.proxy import membership
 from lib import fleets
 
@@ -18,66 +19,10 @@
 RENEWED_AFTER_S = rates.FAST_FALLBACK_DELAY_S / rates.RENEWALS_PER_DELAY + 0.01
 
 
-def test_bucket_starts_empty_and_fills_to_its_burst():
-    bucket = rates.Bucket(0.0)
-    allowance = rates.Allowance(10.0, 5.0)
-    assert bucket.take(allowance, 1, 0.0) == 0
-    assert bucket.take(allowance, 9, 100.0) == 5
-
-
-def test_lower_limit_applies_at_once():
-    bucket = rates.Bucket(0.0)
-    bucket.take(rates.Allowance(100.0, 100.0), 0, 10.0)
-    assert bucket.take(rates.Allowance(1.0, 2.0), 50, 10.0) == 2
-
-
-def test_retry_delay_ends_with_the_next_token():
-    bucket = rates.Bucket(0.0)
-    allowance = rates.Allowance(2.0, 5.0)
-    bucket.take(allowance, 1, 0.0)
-    assert bucket.get_retry_s(allowance) == 0.5
-
-
-def test_granted_tokens_expire():
-    local_tokens = rates.LocalTokens()
-    local_tokens.add(2, 1.0)
-    assert local_tokens.take(0.9)
-    assert not local_tokens.take(1.0)
-
-
-def find_limiters(stable, new):
-    members = {
-        vm: fleets.make_member(vm)._replace(is_settled=vm in stable)
-        for vm in [*stable, *new]
-    }
-    teams = [f"team-{number}" for number in range(60)]
-    return {rates.find_limiter(team, members).vm for team in teams}
-
-
-def test_new_vm_is_no_limiter_while_others_are_stable():
-    assert find_limiters(["a", "b"], ["new"]) == {"a", "b"}
-    assert find_limiters(["a", "b", "new"], []) == {"a", "b", "new"}
-
-
-def test_all_vms_are_candidates_when_most_are_new():
-    assert find_limiters([], ["a", "b", "c"]) == {"a", "b", "c"}
-    assert find_limiters(["a"], ["b", "c"]) == {"a", "b", "c"}
-
-
-def test_no_limiter_without_members():
-    assert rates.find_limiter("team", {}) is None
-
-
-def test_limiter_stops_before_a_successor_can_begin():
-    assert rates.may_grant(age_s=3.0, lease_left_s=1.0)
-    assert not rates.may_grant(age_s=rates.STABLE_AFTER_S, lease_left_s=1.0)
-    assert not rates.may_grant(age_s=1.0, lease_left_s=0.0)
-
-
 def make_busy_limiter(domains=("north",), rate=100.0, burst=10.0):
     """Return a limiter's bucket after ten seconds of demand, and the time."""
     limiter_bucket = rates.LimiterBucket(0.0)
-    allowance = rates.Allowance(rate, burst)
+    allowance = token_bucket.Allowance(rate, burst)
     now = 0.0
     for _ in range(200):
         now += 0.05
@@ -106,7 +51,7 @@
 
 def test_limiter_that_lost_the_store_still_subtracts_fallback_rates():
     limiter_bucket, _, now = make_busy_limiter()
-    allowance = rates.Allowance(100.0, 100.0)
+    allowance = token_bucket.Allowance(100.0, 100.0)
     rate = limiter_bucket.renew_fallback("north", NOT_USING, allowance, now)
     limiter_bucket.suspend()
     limiter_bucket.fill(allowance, now)
@@ -160,7 +105,7 @@
 def take_fallback(standby, now, limiter=None, has_recent_view=True):
     """Take many tokens of a standby that has no reserve."""
     limiter = limiter or make_limiter_member()
-    nothing = rates.Allowance(0.0, 0.0)
+    nothing = token_bucket.Allowance(0.0, 0.0)
     return standby.take(nothing, 100, limiter, has_recent_view, now)
 
 
@@ -191,7 +136,7 @@
 
 def test_reserve_is_there_at_once():
     standby = rates.StandbyBucket(0.0)
-    reserve = rates.Allowance(2.0, 1.0)
+    reserve = token_bucket.Allowance(2.0, 1.0)
     standby.fill(reserve, 1.0)
     limiter = make_limiter_member()
     assert standby.take(reserve, 5, limiter, True, 1.0) == 1
@@ -212,35 +157,13 @@
     assert standby.make_due_renewal(limiter, True, silent) == (5.0, True)
 
 
-def test_standby_is_another_vm_of_the_domain_than_the_limiter():
-    members = {
-        f"{domain}-{number}": fleets.make_member(
-            f"{domain}-{number}"
-        )._replace(domain=domain)
-        for domain in ("north", "south")
-        for number in range(3)
-    }
-    for number in range(40):
-        team = f"team-{number}"
-        limiter = rates.find_limiter(team, members)
-        standby = rates.find_standby(team, "south", limiter, members)
-        assert standby.domain == "south" and standby != limiter
-    assert rates.find_standby("team", "west", limiter, members) is None
-
-
-def test_only_vm_of_a_domain_is_standby_and_limiter():
-    members = {"a": fleets.make_member("a")}
-    limiter = rates.find_limiter("team", members)
-    assert rates.find_standby("team", "north", limiter, members) == limiter
-
-
 def test_reserve_of_a_small_limit_is_a_whole_token():
-    limit = rates.Allowance(6.0, 6.0)
+    limit = token_bucket.Allowance(6.0, 6.0)
     assert rates.make_reserve(limit, 0.0, 5).burst == 1.0
     with_slack = rates.make_reserve(limit, 20.0, 5)
     assert with_slack.burst > 1.0
     assert with_slack.rate == pytest.approx(6.0 * rates.RESERVED_SHARE / 5)
-    nothing = rates.Allowance(0.0, 0.0)
+    nothing = token_bucket.Allowance(0.0, 0.0)
     assert rates.make_reserve(nothing, 20.0, 5).burst == 0.0
 
 
@@ -260,7 +183,9 @@
         self._standby = rates.StandbyBucket(
             0.0, rates.get_start_tokens(SLACK_TOKENS, domain_count)
         )
-        self._tokens = [rates.LocalTokens() for _ in range(VMS_PER_DOMAIN)]
+        self._tokens = [
+            token_bucket.LocalTokens() for _ in range(VMS_PER_DOMAIN)
+        ]
 
     def fill(self, limit, now):
         """Add the tokens that the reserve gained."""
@@ -268,7 +193,7 @@
 
     def add(self, vm, tokens, now):
         """Add granted tokens at a VM."""
-        self._tokens[vm].add(tokens, now + rates.GRANT_LIFETIME_S)
+        self._tokens[vm].add(tokens, now + token_bucket.GRANT_LIFETIME_S)
 
     def use(self, vm, wanted, now):
         """Return how many of a VM's tokens are used now."""
@@ -326,7 +251,7 @@
     Messages are lost, and from some time on some domains are cut off from
     the limiter in one or both directions.
     """
-    limit = rates.Allowance(rate, burst)
+    limit = token_bucket.Allowance(rate, burst)
     allowance = limit.scale(rates.LIMITER_SHARE)
     limiter_bucket = rates.LimiterBucket(
         0.0, rates.get_start_tokens(SLACK_TOKENS)
@@ -368,7 +293,7 @@
 ):
     """One of three domains is cut off from the limiter for 6 s."""
     burst = 0.1 * rate
-    limit = rates.Allowance(rate, burst)
+    limit = token_bucket.Allowance(rate, burst)
     allowance = limit.scale(rates.LIMITER_SHARE)
     limiter_bucket = rates.LimiterBucket(
         0.0, rates.get_start_tokens(SLACK_TOKENS)
--- a/tests/unit/proxy/test_limit_directory.py
+++ b/tests/unit/proxy/test_limit_directory.py
@@ -2,7 +2,7 @@
 
 import types
 
-from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import limit_holders
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store
@@ -52,8 +52,10 @@
         change()
         members = store_view.members
         for team in TEAMS:
-            limiter = rates.find_limiter(team, members)
-            standby = rates.find_standby(team, "north", limiter, members)
+            limiter = limit_holders.find_limiter(team, members)
+            standby = limit_holders.find_standby(
+                team, "north", limiter, members
+            )
             assert directory.find(team) == (limiter, standby)
 
 
--- a/tests/unit/proxy/test_limits.py
+++ b/tests/unit/proxy/test_limits.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from geraniumridge._internal.decisions import rates
+from geraniumridge._internal.decisions import limit_holders
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.network import datagrams
@@ -62,7 +62,8 @@
         self.team = next(
             fleets.make_state().teams["team"]._replace(name=name)
             for name in names
-            if rates.find_limiter(name, self.view.members).vm == "limiter"
+            if limit_holders.find_limiter(name, self.view.members).vm
+            == "limiter"
         )
 
     async def take(self):
