Test restarts, lossy links and withdrawn keys with several proxies

No fault was found by these: a VM that starts again beside a neighbour that passes changes on uses neither a key withdrawn nor a target removed before; with 2.5% of the datagrams lost, operations within the limits are not refused and no view gets too old for primaries.

--- a/tests/functional/test_proxy_membership.py
+++ b/tests/functional/test_proxy_membership.py
@@ -59,3 +59,36 @@
     await proxies.wait_until(lambda: len(calls) > 3)
     caller = await cluster.connect(proxy)
     assert proxies.is_success(await caller.query("WRITE a 1"))
+
+
+def test_withdrawn_key_and_departed_target_stay_gone_after_a_restart():
+    """The neighbour passes changes on, and the store has forgotten others."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            await cluster.add_proxy("vm-0")
+            former = await cluster.add_proxy("vm-1")
+            caller = await cluster.connect(former, "stock")
+            assert proxies.is_success(await caller.query("READ a"))
+            tenants = proxies.make_config()["tenants"]
+            tenants[0]["apiKeys"] = ["new"]
+            cluster.store.put(
+                "op/config", proxies.make_config(2, tenants=tenants)
+            )
+            cluster.store.delete("servers/i-2")
+            await proxies.wait_until(
+                lambda: "i-2" not in former.node.view.targets
+            )
+            former.stop()
+            restarted = await cluster.restart_proxy(former, "boot-2")
+            for _ in range(20):
+                assert "i-2" not in restarted.node.view.targets
+                assert "key" not in restarted.node.view.state.keys
+                await trio.sleep(0.05)
+            refused = proxies.Caller(restarted.settings.listen.callers)
+            await refused.open()
+            assert await refused.start_session("stock", "key") != "READY I -"
+            admitted = await cluster.connect(restarted, "stock", "new")
+            assert proxies.is_success(await admitted.query("READ a"))
+
+    trio.run(main)
--- a/tests/functional/test_proxy_partition.py
+++ b/tests/functional/test_proxy_partition.py
@@ -12,7 +12,9 @@
 import trio
 
 from geraniumridge._internal.decisions import limit_holders
+from geraniumridge._internal.decisions import primary_resolver
 from geraniumridge._internal.decisions import succession
+from geraniumridge._internal.utils import clock
 from lib import proxies
 from lib.proxies import is_success
 
@@ -177,34 +179,41 @@
                 self.refused.append((proxy.settings.vm.name, team.name))
 
 
+async def start_members_with_teams(cluster):
+    """Start a VM in each domain, and put a limit on each of many teams."""
+    tenants = [
+        {
+            "name": name,
+            "apiKeys": [f"key-{name}"],
+            "ratePerS": TEAM_RATE_PER_S,
+            "burst": TEAM_RATE_PER_S,
+        }
+        for name in TEAM_NAMES
+    ]
+    cluster.store.put("op/config", proxies.make_config(tenants=tenants))
+    return [
+        await cluster.add_proxy(f"vm-{number}", domain)
+        for number, domain in enumerate(proxies.DOMAINS)
+    ]
+
+
+def start_demand(nursery, counter, members):
+    """Take tokens of all teams at all VMs, within the limits."""
+    interval_s = len(members) / (TEAM_RATE_PER_S * DEMAND_SHARE)
+    for proxy in members:
+        for team in proxy.node.view.state.teams.values():
+            nursery.start_soon(counter.run, proxy, team, interval_s)
+
+
 def test_teams_within_their_limits_get_tokens_while_a_domain_is_cut_off():
     """Neither side needs a limiter in another domain."""
 
     async def main():
         async with proxies.open_cluster() as cluster:
-            tenants = [
-                {
-                    "name": name,
-                    "apiKeys": [f"key-{name}"],
-                    "ratePerS": TEAM_RATE_PER_S,
-                    "burst": TEAM_RATE_PER_S,
-                }
-                for name in TEAM_NAMES
-            ]
-            config = proxies.make_config(tenants=tenants)
-            cluster.store.put("op/config", config)
-            members = [
-                await cluster.add_proxy(f"vm-{number}", domain)
-                for number, domain in enumerate(proxies.DOMAINS)
-            ]
-            interval_s = len(members) / (TEAM_RATE_PER_S * DEMAND_SHARE)
+            members = await start_members_with_teams(cluster)
             counter = TokenCounter()
             async with trio.open_nursery() as nursery:
-                for proxy in members:
-                    for team in proxy.node.view.state.teams.values():
-                        nursery.start_soon(
-                            counter.run, proxy, team, interval_s
-                        )
+                start_demand(nursery, counter, members)
                 await trio.sleep(limit_holders.STABLE_AFTER_S + 3.0)
                 DomainPartition(cluster, members).begin()
                 counter.refused.clear()
@@ -216,6 +225,50 @@
     trio.run(main)
 
 
+LOSS_SHARE = 0.025
+"""Share of the datagrams that a lossy link loses."""
+
+MAX_REFUSED_SHARE = 0.001
+"""Share of operations within the limits that may be refused meanwhile: as
+many as lose three exchanges in a row, and some."""
+
+
+def test_lossy_links_neither_refuse_operations_nor_age_the_views():
+    random_ = random.Random(3)
+
+    def lose_datagrams(proxy):
+        peers = proxy.proxy._peers
+        original_send = type(peers).send
+
+        async def send(message, address):
+            if random_.random() >= LOSS_SHARE:
+                await original_send(peers, message, address)
+
+        peers.send = send
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            members = await start_members_with_teams(cluster)
+            neighbour = await cluster.add_proxy("vm-9", proxies.DOMAINS[0])
+            for proxy in (*members, neighbour):
+                lose_datagrams(proxy)
+            counter = TokenCounter()
+            ages = []
+            async with trio.open_nursery() as nursery:
+                start_demand(nursery, counter, members)
+                await trio.sleep(limit_holders.STABLE_AFTER_S + 3.0)
+                counter.refused.clear()
+                counter.taken = 0
+                for _ in range(80):
+                    await trio.sleep(0.05)
+                    ages.append(neighbour.node.view_age.get_age(clock.now()))
+                nursery.cancel_scope.cancel()
+            assert len(counter.refused) <= MAX_REFUSED_SHARE * counter.taken
+            assert max(ages) < primary_resolver.MAX_UNCONFIRMED_AGE_S
+
+    trio.run(main)
+
+
 async def check_acknowledged_items(cluster, members, checker):
     """Check that every acknowledged item is readable at each VM."""
     for proxy in members:
