Send notices of positions in tasks of their own

A pool that is refused for a full target tries once more, not with every idle connection that it has.

--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -270,9 +270,7 @@
             answer = self._check_primary_answer(
                 context, answer, sent_at, epoch
             )
-            await self._node.position_exchange.notify_keeper(
-                context.route.group
-            )
+            self._node.position_exchange.notify_keeper(context.route.group)
         if answer.state is statements.TransactionState.OPEN:
             return AttemptResult(answer, connection, epoch)
         self._return_connection(pool, connection, answer)
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -2,7 +2,6 @@
 
 import logging
 import math
-import types
 
 import trio
 
@@ -192,7 +191,8 @@
         registered = member and (member.boot, member.is_settled)
         return registered == (self._node.boot, is_stable)
 
-    async def _register(self, is_stable, expected=types.MappingProxyType({})):
+    async def _register(self, is_stable, expected=None):
+        """Write the registration if the expected revisions still hold."""
         settings = self._node.settings
         member = fleet.Member(
             settings.vm.name,
@@ -206,7 +206,7 @@
             fleet.encode_record(member),
             self._lease,
         )
-        await self._store.commit(expected, [write])
+        await self._store.commit(expected or {}, [write])
         self._node.is_registration_written = True
         logger.info(
             "registered",
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -116,6 +116,7 @@
             If the target cannot be reached or refuses the connection, or if
             all connections are in use and it leaves their calls unanswered.
         """
+        has_been_refused = False
         while True:
             found = self._take_idle_connection(target, team)
             if found is not None:
@@ -124,9 +125,10 @@
                 try:
                     return await self._open_connection(target, team)
                 except exceptions.ConnectionLimitError:
-                    if not self._idle:
+                    if has_been_refused or not self._idle:
                         raise
-                    # One of these makes room.
+                    # One of the idle ones makes room.
+                    has_been_refused = True
                     continue
             if self._is_target_silent():
                 raise exceptions.NotSentError(
--- a/src/geraniumridge/_internal/proxy/position_exchange.py
+++ b/src/geraniumridge/_internal/proxy/position_exchange.py
@@ -55,7 +55,7 @@
         peers.handle(messages.PositionNotice, self._note_notice)
 
     def start(self, nursery):
-        """Allow queries that answer notices, in tasks of a nursery."""
+        """Allow notices, and queries that answer them, in a nursery."""
         self._nursery = nursery
 
     async def fetch(self, group, since):
@@ -82,8 +82,11 @@
             if positions.find_covering(since) is None:
                 self._retry_at[group] = clock.now() + NO_POSITION_DELAY_S
 
-    async def notify_keeper(self, group):
-        """Tell the group's keeper, now and then, of a new position."""
+    def notify_keeper(self, group):
+        """Tell the group's keeper, now and then, of a new position.
+
+        The notice is sent by a task of its own.
+        """
         now = clock.now()
         last = self._notified_at.get(group, -math.inf)
         if now - last < NOTICE_INTERVAL_S:
@@ -93,7 +96,9 @@
         keeper = self._find_keeper(group)
         if keeper is not None and keeper.vm != own:
             notice = datagrams.messages.PositionNotice(vm=own, group=group)
-            await self._peers.send_to_members(notice, [keeper])
+            self._nursery.start_soon(
+                self._peers.send_to_members, notice, [keeper]
+            )
 
     async def _query(self, group, member):
         """Ask a VM for its newest position and add it.
--- a/tests/unit/proxy/test_position_exchange.py
+++ b/tests/unit/proxy/test_position_exchange.py
@@ -96,7 +96,7 @@
     async def test(wire, vms):
         read_at = clock.now()
         vms[FIRST].positions.add(read_at, POSITION)
-        await vms[FIRST].exchange.notify_keeper("ledger")
+        vms[FIRST].exchange.notify_keeper("ledger")
         await trio.sleep(0.05)
         assert await vms[SECOND].fetch(read_at - 0.1) == POSITION
 
@@ -109,7 +109,7 @@
     async def test(wire, vms):
         read_at = clock.now()
         vms[FIRST].positions.add(read_at, POSITION)
-        await vms[FIRST].exchange.notify_keeper("ledger")
+        vms[FIRST].exchange.notify_keeper("ledger")
         await trio.sleep(0.05)
         await vms[SECOND].fetch(read_at - 0.1)
         for vm in (KEEPER, SECOND):
@@ -142,7 +142,7 @@
     async def test(wire, vms):
         for _ in range(50):
             vms[FIRST].positions.add(clock.now(), POSITION)
-            await vms[FIRST].exchange.notify_keeper("ledger")
+            vms[FIRST].exchange.notify_keeper("ledger")
         await trio.sleep(0.05)
         assert wire.queries == 1
 
