--- a/src/geraniumridge/_internal/decisions/target_sets.py
+++ b/src/geraniumridge/_internal/decisions/target_sets.py
@@ -37,12 +37,8 @@
         *view.list_group(group),
         *view.list_recently_removed(group, now, DEPARTED_TARGET_WAIT_S),
     ]
-    if stored is not None:
-        if {item.id for item in stored.targets} == {
-            item.id for item in targets
-        }:
-            return None
-    elif not targets:
+    stored_ids = {item.id for item in stored.targets} if stored else set()
+    if stored_ids == {item.id for item in targets}:
         return None
     return fleet.TargetSet(
         tuple(
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -83,6 +83,13 @@
     wait_s: float = 0.0
 
 
+SILENT = Reason("silent", may_keep_old=True, needs_probe=True)
+"""The primary leaves statements of this VM unanswered."""
+
+SUSPECTED = Reason("suspected", may_keep_old=True, needs_probe=True)
+"""Another VM has reported that the primary does not answer it."""
+
+
 class FailoverMonitor:
     """Failure detector for the primaries of all groups.
 
@@ -143,7 +150,9 @@
             self._reason_since.pop(group, None)
             self._check_takeover(nursery, group, lead, now)
             return
-        reason = self._find_reason(nursery, group, now)
+        reason = self._find_reason(group, now)
+        if reason is SILENT:
+            self._suspicions.report(nursery, group, now)
         if reason is None:
             self._reason_since.pop(group, None)
             return
@@ -231,7 +240,7 @@
         )
         return min(MAX_RANK_DELAY_S, rank * RANK_DELAY_S)
 
-    def _find_reason(self, nursery, group, now):
+    def _find_reason(self, group, now):
         view = self._node.view
         targets = view.list_group(group)
         if not targets:
@@ -252,10 +261,9 @@
             if usage.not_primary_answers >= NOT_PRIMARY_ANSWERS_LIMIT:
                 return Reason("says it is not primary")
         if self._is_primary_silent(primary, now):
-            self._suspicions.report(nursery, group, primary.id, now)
-            return Reason("silent", may_keep_old=True, needs_probe=True)
+            return SILENT
         if self._suspicions.is_suspected(group, primary.id, now):
-            return Reason("suspected", may_keep_old=True, needs_probe=True)
+            return SUSPECTED
         return None
 
     def _has_successor(self, targets, primary):
--- a/src/geraniumridge/_internal/proxy/suspicion_exchange.py
+++ b/src/geraniumridge/_internal/proxy/suspicion_exchange.py
@@ -48,8 +48,11 @@
         self._suspicions = {}
         peers.handle(datagrams.messages.PrimarySuspicion, self._note_message)
 
-    def report(self, nursery, group, target, now):
-        """Tell the VMs that rank first for a group, in a nursery's task.
+    def report(self, nursery, group, now):
+        """Report a group's primary, which does not answer this VM.
+
+        The VMs that rank first for the group are told, by a task of the
+        nursery.
 
         Parameters
         ----------
@@ -57,8 +60,6 @@
             Runs the task.
         group : str
             The group.
-        target : str
-            Id of its primary, which does not answer this VM.
         now : float
             Clock time, in seconds.
         """
@@ -66,7 +67,9 @@
         if now - reported_at < REPORT_INTERVAL_S:
             return
         self._reported_at[group] = now
-        nursery.start_soon(self._report, group, target)
+        primary = self._node.primary_resolver.find_primary(group)
+        if primary is not None:
+            nursery.start_soon(self._report, group, primary.id)
 
     def is_suspected(self, group, target, now):
         """Return whether another VM has reported a target recently."""
