Use no target that left before a VM started

A primary whose entry was removed stays in use for some seconds, and so one that had left before the start would have been used again.

Change: only a target whose entry this view has seen go is found as recently removed. test_target_that_left_before_the_start_is_not_used_again fails on the code before.

--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -29,10 +29,15 @@
 
 
 class RemovedTarget(typing.NamedTuple):
-    """A target whose entry was removed, and when that was seen."""
+    """A target whose entry was removed, and when that was seen.
+
+    `was_registered` is false of one that had left before this view began,
+    which is known from its group's `fleet.TargetSet` only.
+    """
 
     target: desired.Target
     seen_at: float
+    was_registered: bool = True
 
 
 class Entry(typing.NamedTuple):
@@ -133,7 +138,7 @@
         return list(self._groups.get(group, {}).values())
 
     def find_recently_removed(self, target_id, now, within_s):
-        """Return a target that was removed recently, or None.
+        """Return a target that this view saw removed recently, or None.
 
         Parameters
         ----------
@@ -145,9 +150,14 @@
             Longest time since the removal, in seconds.
         """
         item = self._removed_targets.get(target_id)
-        if item is None or now - item.seen_at > within_s:
+        if item is None or not item.was_registered:
             return None
-        return item.target
+        return item.target if now - item.seen_at <= within_s else None
+
+    def find_departed(self, target_id):
+        """Return a target that was removed, at whatever time, or None."""
+        item = self._removed_targets.get(target_id)
+        return item.target if item else None
 
     def get_removal_time(self, target_id):
         """Return the clock time at which a target was removed, or None.
@@ -305,7 +315,9 @@
             )
             if not is_known:
                 self._removed_targets[recorded.id] = RemovedTarget(
-                    _make_departed_target(group, recorded), now
+                    _make_departed_target(group, recorded),
+                    now,
+                    was_registered=False,
                 )
 
     def _discard_record(self, now, key, record):
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -1,7 +1,6 @@
 """One failover of a group, as run by a VM."""
 
 import logging
-import math
 
 import trio
 
@@ -329,9 +328,7 @@
     def _find_address(self, target_id):
         """Return a target's address, None if it is no longer known."""
         view = self._node.view
-        target = view.targets.get(target_id) or view.find_recently_removed(
-            target_id, clock.now(), math.inf
-        )
+        target = view.targets.get(target_id) or view.find_departed(target_id)
         return target.address if target else None
 
     def _follow_old_primary(self):
--- a/tests/unit/decisions/test_view.py
+++ b/tests/unit/decisions/test_view.py
@@ -186,3 +186,36 @@
     assert store_view.list_group("other") == [moved]
     store_view.apply(2.0, make_changes(7, Item("s/a", None, 7)))
     assert store_view.list_group("other") == []
+
+
+def make_target_set(*ids):
+    return fleet.TargetSet(
+        tuple(fleet.RecordedTarget(id, "127.0.0.1:1", "north") for id in ids)
+    )
+
+
+def make_view_of_a_start():
+    """Return the view of a VM that starts after target b has left."""
+    store_view = make_view()
+    key = fleet.make_targets_key("ledger")
+    recorded = Item(key, make_target_set("a", "b"), 4)
+    registered = Item("s/a", fleets.make_target("a"), 5)
+    store_view.replace(10.0, make_listing(5, recorded, registered))
+    return store_view
+
+
+def test_target_that_left_before_the_start_is_known_as_removed():
+    store_view = make_view_of_a_start()
+    removed = store_view.list_recently_removed("ledger", 11.0, 30.0)
+    assert [target.id for target in removed] == ["b"]
+    assert store_view.get_removal_time("b") == 10.0
+    assert store_view.get_removal_time("a") is None
+    assert store_view.find_departed("b").address == "127.0.0.1:1"
+
+
+def test_target_that_left_before_the_start_is_not_used_again():
+    """Whoever saw its entry go may use it a moment longer."""
+    store_view = make_view_of_a_start()
+    assert store_view.find_recently_removed("b", 10.1, 4.0) is None
+    store_view.apply(11.0, make_changes(6, Item("s/a", None, 6)))
+    assert store_view.find_recently_removed("a", 11.1, 4.0).id == "a"
