Do not add a departed target again that another VM has removed

Change: such a target is kept in the set while it is there, not added. test_target_that_another_vm_has_removed_is_not_added_again fails on the code before. The other tests of the set are new and pass on both.

--- a/src/geraniumridge/_internal/decisions/target_sets.py
+++ b/src/geraniumridge/_internal/decisions/target_sets.py
@@ -33,11 +33,11 @@
         None if the stored set is up to date.
     """
     stored = view.get_target_set(group)
+    stored_ids = {item.id for item in stored.targets} if stored else set()
     targets = [
         *view.list_group(group),
-        *view.list_recently_removed(group, now, DEPARTED_TARGET_WAIT_S),
+        *_list_kept(view, group, stored_ids, now),
     ]
-    stored_ids = {item.id for item in stored.targets} if stored else set()
     if stored_ids == {item.id for item in targets}:
         return None
     return fleet.TargetSet(
@@ -46,3 +46,16 @@
             for item in sorted(targets, key=lambda target: target.id)
         )
     )
+
+
+def _list_kept(view, group, stored_ids, now):
+    """Yield the departed targets that belong to the set.
+
+    One that this view knows from the set alone is kept there, but not added
+    again: a VM that runs for longer has removed it.
+    """
+    wait_s = DEPARTED_TARGET_WAIT_S
+    for target in view.list_recently_removed(group, now, wait_s):
+        was_seen = view.find_recently_removed(target.id, now, wait_s)
+        if was_seen or target.id in stored_ids:
+            yield target
