--- a/review/lib/caller.py
+++ b/review/lib/caller.py
@@ -68,5 +68,6 @@
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             code = "CLOSED"
             self.close()
-        self._record.note(f"answered {statement_id} {code} {' '.join(rows)}")
+        text = " ".join(rows) if len(rows) < 10 else f"{len(rows)} rows"
+        self._record.note(f"answered {statement_id} {code} {text[:100]}")
         return statement_id, code, rows
--- a/review/lib/database.py
+++ b/review/lib/database.py
@@ -36,7 +36,11 @@
 
 
 class Group:
-    """The instances of a service."""
+    """The instances of a service.
+
+    `large_results` holds the rows of items whose results are large,
+    `ran_for` by statement who it ran for.
+    """
 
     def __init__(self, record, store, name, sync_replicas=1, slots=3):
         self._record = record
@@ -45,6 +49,8 @@
         self.sync_replicas = sync_replicas
         self.slots = slots
         self.instances = {}
+        self.large_results = {}
+        self.ran_for = {}
         self.promoted_at = None
 
     def add(self, name, host, port, zone):
@@ -479,6 +485,9 @@
 
     def _read(self, statement_id, item):
         instance = self._instance
+        if item in instance.group.large_results:
+            rows = instance.group.large_results[item]
+            return self._finish(statement_id, "READ", *rows)
         row = "none"
         for commit in instance.log[: instance.applied]:
             for name, data in commit.writes:
@@ -493,6 +502,7 @@
         instance = self._instance
         self._record.note(
             f"ran {statement_id} {word} at {instance.name}"
-            f" {instance.format_position()}"
+            f" {instance.format_position()} for {self._who}"
         )
+        instance.group.ran_for[statement_id] = self._who
         return [*(f"ROW {row}" for row in rows), f"COMPLETE d.{statement_id}"]
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -26,7 +26,7 @@
                 "host": f"{service}-{kind.partition('_')[0]}",
                 "type": kind,
                 "service": service,
-                "timeoutMs": 1000,
+                "timeoutMs": 2000 if kind == "bounded_staleness" else 1000,
                 "targetLatencyMs": 400,
                 "priority": 1,
                 "attempts": 2,
@@ -93,7 +93,8 @@
             for instance in group.instances.values():
                 await instance.start()
         self.store.put("op/config", make_config(list(self.groups)))
-        self.deployment.start(f"{host}:{port}")
+        self.duties_address = f"{host}:{port}"
+        self.deployment.start(self.duties_address)
         await self.deployment.wait_ready()
         prefix = "geraniumridge/members/"
         async with asyncio.timeout(20):
