Let a crashed instance of the review's stand-ins do nothing more

A task of a crashed instance could outlive it, when its cancellation met the end of a wait: in one run of case 1 it sent the old log to the restarted replica, and the case held.

--- a/review/lib/database.py
+++ b/review/lib/database.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import itertools
 import time
 
 NETWORK_S = 0.0005
@@ -51,7 +50,6 @@
         self.instances = {}
         self.large_results = {}
         self.ran_for = {}
-        self.promoted_at = None
 
     def add(self, name, host, port, zone):
         instance = Instance(self, self._record, name, host, port, zone)
@@ -78,7 +76,6 @@
         chosen.role = "primary"
         chosen.paused_term = 0
         chosen.applied = len(chosen.log)
-        self.promoted_at = time.monotonic()
         self._record.note(
             f"promoted {name} term {term} at {chosen.format_position()}"
         )
@@ -110,12 +107,13 @@
         self.born = int(time.time() * 1000)
         self.seq = 0
         self.received_by = {}
+        self.run = 0
         self._changed = asyncio.Event()
         self._lit = asyncio.Event()
         self._lit.set()
         self._tasks = []
         self._writers = set()
-        self._free = None
+        self.free_slots = None
         self._server = None
 
     @property
@@ -132,17 +130,18 @@
     async def start(self):
         """Start the process."""
         self.is_running = True
-        self._free = asyncio.Semaphore(self.group.slots)
+        self.run += 1
+        self.free_slots = asyncio.Semaphore(self.group.slots)
         self._server = await asyncio.start_server(
             self._serve, self.host, self.port, limit=2**21
         )
         self._tasks = [
-            asyncio.ensure_future(self._beat()),
-            asyncio.ensure_future(self._apply()),
-            asyncio.ensure_future(self._follow()),
+            asyncio.ensure_future(self._beat(self.run)),
+            asyncio.ensure_future(self._apply(self.run)),
+            asyncio.ensure_future(self._follow(self.run)),
         ]
         self._tasks += [
-            asyncio.ensure_future(self._ship(name))
+            asyncio.ensure_future(self._ship(name, self.run))
             for name in self.group.instances
             if name != self.name
         ]
@@ -150,6 +149,7 @@
     def crash(self):
         """End the process at once."""
         self.is_running = False
+        self.run += 1
         self._server.close()
         for task in self._tasks:
             task.cancel()
@@ -222,14 +222,14 @@
             },
         )
 
-    async def _beat(self):
-        while True:
+    async def _beat(self, run):
+        while self.run == run:
             if not self.is_dark:
                 self.publish()
             await asyncio.sleep(1.2)
 
-    async def _apply(self):
-        while True:
+    async def _apply(self, run):
+        while self.run == run:
             if self.role == "primary":
                 self.applied = len(self.log)
             elif self.applied < len(self.log):
@@ -245,19 +245,19 @@
         except asyncio.TimeoutError:
             pass
 
-    async def _ship(self, name):
+    async def _ship(self, name, run):
         """Send the log to another instance while this one is primary."""
-        while True:
+        while self.run == run:
             await self._wait_change(0.05)
             replica = self.group.instances[name]
             if self.role != "primary" or self.is_dark:
                 continue
             entries, term = list(self.log), self.term
             await asyncio.sleep(NETWORK_S)
-            if not replica.receive(self, entries, term):
+            if self.run != run or not replica.receive(self, entries, term):
                 continue
             await asyncio.sleep(NETWORK_S)
-            if self.is_running and not self.is_dark and self.term == term:
+            if self.run == run and not self.is_dark and self.term == term:
                 self.received_by[name] = len(entries)
                 self.wake()
 
@@ -288,9 +288,9 @@
         self.wake()
         return True
 
-    async def _follow(self):
+    async def _follow(self, run):
         """As an old primary, step down a second after a new one leads."""
-        while True:
+        while self.run == run:
             await asyncio.sleep(0.01)
             leader = self.group.find_leader()
             if self.role != "primary" or leader is self or leader is None:
@@ -298,7 +298,8 @@
             if self.is_dark or not leader.is_running or leader.is_dark:
                 continue
             await asyncio.sleep(STEP_DOWN_S)
-            self.demote(leader.term)
+            if self.run == run:
+                self.demote(leader.term)
 
     def demote(self, term):
         if self.role == "primary" and self.term < term:
@@ -309,14 +310,15 @@
 
     async def commit(self, statement_id, writes):
         """Commit; return whether it is acknowledged."""
-        term = self.term
+        term, run = self.term, self.run
         number = self.get_position()[1] + 1
         entry = Commit(term, number, statement_id, writes)
         self.log.append(entry)
         count = len(self.log)
         self.wake()
         while True:
-            if self.role != "primary" or self.term != term:
+            is_same_run = self.run == run and self.term == term
+            if not is_same_run or self.role != "primary":
                 return False
             holders = sum(n >= count for n in self.received_by.values())
             if holders >= self.group.sync_replicas:
@@ -337,9 +339,6 @@
         while self.is_dark:
             await self._lit.wait()
 
-    def occupy_slot(self):
-        return self._free
-
 
 class _Connection:
     """One connection; a close rolls its transaction back."""
@@ -456,9 +455,12 @@
 
     async def _work(self, statement_id, word, rest):
         instance = self._instance
-        async with instance.occupy_slot():
+        run = instance.run
+        async with instance.free_slots:
             await asyncio.sleep(WORK_S)
             await instance.wait_lit()
+            if instance.run != run:
+                return None
             is_plain = self._state == "T" and not self._is_read_only
             has_lost_lead = instance.role != "primary"
             if word == "READ":
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -32,7 +32,6 @@
         self._next_lease = 1
         self._changed = asyncio.Event()
         self.cut = set()
-        self.last_writer = None
 
     async def start(self, addresses):
         """Listen; `addresses` is host and port by machine."""
@@ -64,9 +63,7 @@
         """Remove a key."""
         if self._items.pop(key, None) is not None:
             self._revision += 1
-            self._note(
-                {"key": key, "rev": self._revision, "tombstone": True}
-            )
+            self._note({"key": key, "rev": self._revision, "tombstone": True})
 
     def get(self, key):
         """Return the data of a key, or None."""
@@ -105,12 +102,12 @@
         if machine in self.cut:
             await asyncio.sleep(3600)
         await asyncio.sleep(0.004)
-        answer = await self._dispatch(machine, method, path, body)
+        answer = await self._dispatch(method, path, body)
         if machine in self.cut:
             await asyncio.sleep(3600)
         return answer
 
-    async def _dispatch(self, machine, method, target, body):
+    async def _dispatch(self, method, target, body):
         path, _, query = target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         data = json.loads(body) if body else {}
@@ -122,7 +119,7 @@
         if path == "/-/kv-watch":
             return await self._watch(fields)
         if path == "/-/kv-txn":
-            return self._commit(machine, data)
+            return self._commit(data)
         if path == "/-/kv-lease":
             lease, self._next_lease = self._next_lease, self._next_lease + 1
             return 200, self._renew(lease, data["ttlMs"])
@@ -152,7 +149,7 @@
             "asOf": self._revision,
         }
 
-    def _commit(self, machine, data):
+    def _commit(self, data):
         expected = data.get("expected", ())
         for row in expected:
             item = self._items.get(row["key"])
@@ -163,8 +160,6 @@
                 return 403, {}
             if write.get("lease") and write["lease"] not in self._leases:
                 return 404, {}
-        if expected:
-            self.last_writer = machine
         for write in data.get("writes", ()):
             value = base64.b64decode(write["value"])
             self.put(write["key"], value, write.get("lease", 0))
--- a/review/lib/web.py
+++ b/review/lib/web.py
@@ -42,8 +42,7 @@
     writer.write(
         f"HTTP/1.1 {status} {REASONS.get(status, 'Refused')}\r\n"
         f"Content-Type: application/json\r\n"
-        f"Content-Length: {len(content)}\r\n\r\n".encode()
-        + content
+        f"Content-Length: {len(content)}\r\n\r\n".encode() + content
     )
     await writer.drain()
     return True
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 
@@ -169,6 +170,12 @@
         self.deployment.stop()
 
 
+def end_early(world):
+    """End everything that was started, when the script itself is ended."""
+    world.stop()
+    os._exit(record.NOT_RUN)
+
+
 def run(folder, scenario, least_served=100, limit_s=110, **options):
     """Run an async scenario of a world and a flag; exit with the result."""
     folder = os.environ.get("RECORD_FOLDER", folder)
@@ -176,6 +183,9 @@
 
     async def main():
         world = World(folder, **options)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, end_early, world
+        )
         try:
             async with asyncio.timeout(limit_s):
                 await world.start()
