Record each order to promote before it is sent; bind later VMs to it

Cause: an order was sent on a check made earlier, the age of the store view, and nothing was kept of it. A VM whose failover another VM had taken over went on for up to 2 s. An order whose answer was given up after 1 s was forgotten: the old primary was kept when it answered again, and the order, carried out seconds later, promoted a replica that lacked the commits acknowledged since.

Hypotheses: (1) the former holder outlives its takeover; (2) an order in doubt acts after a newer one of the same VM; (3) a successor is chosen on too little proof.

Change: an order is recorded in the store, on condition that the sender still runs the failover, and leaves on an open connection within a second of that record. Whoever takes the failover over sees the order or prevents it. While it may still be carried out (15 s from when its record is seen), nobody sends a different order, keeps the old primary or records another one. Its connection stays open for the answer, which ends the doubt. A failover that ends in doubt leaves the record for the next one.

Related paths looked at: completion and takeover are conditional writes already; RESUME and STEPDOWN after a completion now end once another VM has changed the record; late acknowledgements count for their revision only.

--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -40,6 +40,17 @@
     was_registered: bool = True
 
 
+class SeenOrder(typing.NamedTuple):
+    """A group's newest `fleet.PromotionOrder`.
+
+    `seen_at` is the clock time in seconds at which this view saw it, after
+    the store had recorded it.
+    """
+
+    order: fleet.PromotionOrder
+    seen_at: float
+
+
 class Entry(typing.NamedTuple):
     """A key's revision and decoded value, None if it cannot be decoded."""
 
@@ -70,6 +81,7 @@
         self._change_log = change_log.ChangeLog()
         self._lead_revisions = {}
         self._acknowledgements = {}
+        self._orders = {}
         self._expiry_deadlines = {}
         self._removed_targets = {}
         self._complete_since = None
@@ -184,6 +196,10 @@
         entry = self._entries.get(fleet.make_targets_key(group))
         return entry.record if entry else None
 
+    def get_order(self, group):
+        """Return a group's `SeenOrder`, or None."""
+        return self._orders.get(group)
+
     def list_acknowledgements(self, group):
         """Return the acknowledgements of a group's failovers, by VM."""
         return self._acknowledgements.get(group, {})
@@ -298,6 +314,9 @@
         elif isinstance(record, fleet.Acknowledgement):
             group = fleet.parse_acknowledgement_group(item.key)
             self._acknowledgements.setdefault(group, {})[record.vm] = record
+        elif isinstance(record, fleet.PromotionOrder):
+            group = fleet.parse_order_group(item.key)
+            self._orders[group] = SeenOrder(record, now)
         elif isinstance(record, fleet.TargetSet):
             group = fleet.parse_targets_group(item.key)
             self._note_departed_targets(now, group, record)
@@ -330,6 +349,8 @@
         elif isinstance(record, fleet.Acknowledgement):
             group = fleet.parse_acknowledgement_group(key)
             self._acknowledgements.get(group, {}).pop(record.vm, None)
+        elif isinstance(record, fleet.PromotionOrder):
+            self._orders.pop(fleet.parse_order_group(key), None)
 
     def _add_target(self, target):
         known = self._targets.get(target.id)
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -15,6 +15,7 @@
 ACKNOWLEDGEMENTS_PREFIX = "geraniumridge/releases/"
 """Prefix of the acknowledgements; the store keeps the older word."""
 TARGETS_PREFIX = "geraniumridge/targets/"
+ORDERS_PREFIX = "geraniumridge/orders/"
 
 
 class Lead(typing.NamedTuple):
@@ -67,6 +68,19 @@
     domain: str
 
 
+class PromotionOrder(typing.NamedTuple):
+    """An order to promote a target, recorded before it is sent.
+
+    It may be carried out long after its answer was given up. `fence` is
+    its fencing token, the revision of the failover's leadership record;
+    `holder` is the VM that sends it.
+    """
+
+    target: str
+    fence: int
+    holder: str
+
+
 class TargetSet(typing.NamedTuple):
     """All targets of a group that may hold acknowledged commits.
 
@@ -111,11 +125,22 @@
     return key.removeprefix(TARGETS_PREFIX)
 
 
+def make_order_key(group):
+    """Return the store's key of a group's `PromotionOrder`."""
+    return f"{ORDERS_PREFIX}{group}"
+
+
+def parse_order_group(key):
+    """Return the group that a `PromotionOrder`'s key belongs to."""
+    return key.removeprefix(ORDERS_PREFIX)
+
+
 RECORD_TYPES = {
     LEADS_PREFIX: Lead,
     MEMBERS_PREFIX: Member,
     ACKNOWLEDGEMENTS_PREFIX: Acknowledgement,
     TARGETS_PREFIX: TargetSet,
+    ORDERS_PREFIX: PromotionOrder,
 }
 """Type of the records under each key prefix."""
 
--- a/src/geraniumridge/_internal/ports/targets.py
+++ b/src/geraniumridge/_internal/ports/targets.py
@@ -87,14 +87,27 @@
         """Make a primary of a lower term a replica; return its status."""
 
 
+class PromotionCall(typing.Protocol):
+    """Open connection to the platform for one order to promote a target."""
+
+    async def send(self, group, order):
+        """Send an order at once and wait for its answer.
+
+        `order` is a `fleet.PromotionOrder` for the group. Raises
+        `exceptions.TargetRefusedError` if it is not carried out, and
+        `exceptions.PlatformUnavailableError` without an answer; it may
+        then be carried out much later.
+        """
+
+    async def close(self):
+        """Close the connection at once."""
+
+
 class Promoter(typing.Protocol):
-    """Client that asks the platform to promote a target."""
+    """Client that orders the platform to promote targets."""
 
-    async def promote(self, group, target, holder, fence):
-        """Ask the platform to make a target the primary of its group.
+    async def connect(self):
+        """Return an open `PromotionCall`.
 
-        `holder` is the VM that asks and `fence` the fencing token of its
-        failover, the store's revision of the leadership record. Raises
-        `exceptions.TargetRefusedError` if the target is not running,
-        `exceptions.PlatformUnavailableError` if there is no answer.
+        Raises `exceptions.NotSentError` if the platform is out of reach.
         """
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import fleet
@@ -179,9 +180,14 @@
             self._pending_revisions[group] = (revision, now)
 
     def _check_takeover(self, nursery, group, lead, now):
-        """Continue this VM's own failover or one that another abandoned."""
+        """Continue this VM's own failover or one that another abandoned.
+
+        A VM that has recorded an order lately still runs its failover.
+        """
         _, since = self._pending_revisions[group]
-        if now - since >= self._get_takeover_delay_s(group, lead):
+        seen_order = self._node.view.get_order(group)
+        active_at = max(since, seen_order.seen_at) if seen_order else since
+        if now - active_at >= self._get_takeover_delay_s(group, lead):
             reason = Reason("taken over", may_keep_old=True)
             self._start(nursery, group, reason, since)
 
@@ -331,7 +337,9 @@
         write = store_port.Write(key, fleet.encode_record(lead))
         try:
             revision = await self._store.commit(
-                {key: expected_revision}, [write]
+                {key: expected_revision},
+                [write],
+                self._list_expired_orders(group, known),
             )
         except exceptions.PlatformError as error:
             self._log("lead not marked", group, reason, why=str(error))
@@ -340,6 +348,19 @@
         await self._view_exchange.notify_all()
         return await self._wait_until_visible(key, revision)
 
+    def _list_expired_orders(self, group, lead):
+        """Return the keys of orders that cannot concern a new failover.
+
+        Those of the failover in progress, if any, are kept: they tell that
+        the old primary may have been replaced.
+        """
+        seen = self._node.view.get_order(group)
+        if seen is None or (lead is not None and lead.is_pending):
+            return []
+        if promotion_orders.find_outstanding(seen, clock.now()) is not None:
+            return []
+        return [fleet.make_order_key(group)]
+
     async def _wait_until_visible(self, key, revision):
         """Wait until the view shows a write, for a limited time.
 
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -1,9 +1,11 @@
 """One failover of a group, as run by a VM."""
 
 import logging
+import math
 
 import trio
 
+from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.decisions import target_sets
 from geraniumridge._internal import exceptions
@@ -12,6 +14,7 @@
 from geraniumridge._internal.models import records
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import control
+from geraniumridge._internal.proxy import promotion_sender
 from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
@@ -23,9 +26,14 @@
 """How long a replica may take to receive the whole log of a primary that
 still leads but is to be replaced."""
 
-PROMOTION_TIMEOUT_S = 3.0
-"""How long a target may take to become primary after the order to
-promote it."""
+EFFECT_TIMEOUTS_S = {
+    promotion_sender.Outcome.NOT_SENT: 0.0,
+    promotion_sender.Outcome.REFUSED: 0.0,
+    promotion_sender.Outcome.ANSWERED: 3.0,
+    promotion_sender.Outcome.UNANSWERED: 1.0,
+}
+"""How long a target may take to become primary once the outcome of the order
+to promote it is known. One that went unanswered is then repeated."""
 
 RETRY_DELAY_S = 0.2
 """Pause before the next attempt at a step that did not complete."""
@@ -69,17 +77,21 @@
     ):
         self._node = node
         self._store = store
-        self._promoter = promoter
         self._view_exchange = view_exchange
         self._group = group
         self._key = fleet.make_lead_key(group)
         self._lead = node.view.get_lead(group)
         self._revision = node.view.get_revision(self._key)
+        self._own_revisions = {self._revision}
         self._old_address = self._find_address(self._lead.target)
         self._may_keep_old = may_keep_old
         self._pending_since = pending_since
         self._connections = {}
         self._reported_position = records.LOG_START
+        self._was_order_logged = False
+        self._sender = promotion_sender.PromotionSender(
+            node, store, promoter, group, self._revision
+        )
 
     async def run(self):
         """Run until the failover completes or this VM may not continue.
@@ -117,7 +129,8 @@
 
     def _is_superseded(self):
         """Return whether another VM has changed the leadership record."""
-        return self._node.view.get_revision(self._key) != self._revision
+        revision = self._node.view.get_revision(self._key)
+        return revision not in self._own_revisions
 
     async def _wait_acknowledged(self):
         """Wait until no VM can use the old primary any more.
@@ -158,17 +171,57 @@
         term = _find_newest_term(statuses.values(), self._lead.term)
         primary = succession.find_promoted_target(self._lead, statuses)
         if primary is not None:
+            if not self._may_become_primary(primary):
+                return False
             return await self._complete(primary, statuses[primary].term)
         is_still_primary = old is not None and old.role is desired.Role.PRIMARY
-        if is_still_primary and self._may_keep_old:
+        if is_still_primary and self._may_keep_primary():
             await self._resume_others(self._lead.target)
             return await self._record_completion(self._lead.target, old.term)
+        if not self._may_send_order():
+            return False
         min_position = None
         if is_still_primary:
             min_position = old.received
             await self._wait_catch_up(min_position)
         return await self._promote(term, min_position)
 
+    def _may_become_primary(self, target_id):
+        seen = self._node.view.get_order(self._group)
+        if not self._lead.target:
+            # The target may be a former primary that was never recorded.
+            return promotion_orders.may_keep_primary(seen, target_id)
+        return promotion_orders.may_become_primary(
+            seen, target_id, clock.now()
+        )
+
+    def _may_keep_primary(self):
+        """Return whether the failover may end with the old primary."""
+        seen = self._node.view.get_order(self._group)
+        return self._may_keep_old and promotion_orders.may_keep_primary(
+            seen, self._lead.target
+        )
+
+    def _may_send_order(self, target_id=None):
+        """Return whether an order may be sent now.
+
+        Parameters
+        ----------
+        target_id : str, optional
+            Target of the order; by default that of the newest order.
+        """
+        seen = self._node.view.get_order(self._group)
+        if target_id is None and seen is not None:
+            target_id = seen.order.target
+        if promotion_orders.may_send(
+            seen, target_id, self._revision, clock.now()
+        ):
+            return True
+        if not self._was_order_logged:
+            self._was_order_logged = True
+            self._log("waiting for an earlier order", **seen.order._asdict())
+        return False
+
     async def _promote(self, term, min_position):
         paused_statuses = await control.ask_all(
             self._list_others(), lambda item: item.pause(term + 1)
@@ -195,17 +248,17 @@
                 for item in replicas
             },
         )
-        if chosen is None or not self._may_continue():
-            await self._resume_others(None)
-            return False
-        if not await self._request_promotion(chosen.target.id):
+        if chosen is None or not self._may_order(chosen.target.id):
             await self._resume_others(None)
             return False
-        new_term = await self._wait_until_primary(chosen.target.id, term)
+        new_term = await self._order_promotion(chosen.target.id, chosen.status)
         if new_term is None:
             return False
         return await self._complete(chosen.target.id, new_term)
 
+    def _may_order(self, target_id):
+        return self._may_continue() and self._may_send_order(target_id)
+
     def _find_covering_position(self, target_id):
         """Return a position that covers a departed target's commits.
 
@@ -227,45 +280,56 @@
                     self._reported_position, status.received
                 )
 
-    async def _request_promotion(self, target_id):
-        """Order a promotion; return whether it may have been carried out.
+    async def _order_promotion(self, target_id, former_status):
+        """Order a promotion; return the target's term once it leads.
 
-        The revision of the failover's leadership record is the fencing
-        token.
+        `former_status` is the target's status before. Returns None if it does
+        not lead in time. The others receive the log again if the order has
+        certainly no effect.
         """
-        try:
-            await self._promoter.promote(
-                self._group,
-                target_id,
-                self._node.settings.vm.name,
-                self._revision,
+        async with trio.open_nursery() as nursery:
+            self._sender.start(
+                nursery, target_id, lambda: self._may_order(target_id)
             )
-        except exceptions.TargetRefusedError as error:
-            self._log("promotion refused", target=target_id, why=str(error))
-            return False
-        except exceptions.PlatformUnavailableError as error:
-            # The target may be promoted, so the caller waits for it as
-            # after an answer.
-            self._log("promotion in doubt", target=target_id, why=str(error))
-            return True
-        self._log("promotion ordered", target=target_id)
-        return True
+            new_term = await self._wait_until_primary(target_id, former_status)
+            nursery.cancel_scope.cancel()
+        if self._sender.outcome in promotion_sender.WITHOUT_EFFECT:
+            await self._resume_others(None)
+        return new_term
 
-    async def _wait_until_primary(self, target_id, term):
+    async def _wait_until_primary(self, target_id, former_status):
         """Return the term once the target is primary, or None on timeout."""
-        with trio.move_on_after(PROMOTION_TIMEOUT_S):
-            while True:
-                status = await self._connections[target_id].inspect()
-                if status is not None and _is_primary_after(status, term):
-                    return status.term
-                await trio.sleep(POLL_INTERVAL_S)
+        deadline = math.inf
+        while trio.current_time() < deadline:
+            if deadline == math.inf and self._sender.outcome is not None:
+                wait_s = EFFECT_TIMEOUTS_S[self._sender.outcome]
+                deadline = trio.current_time() + wait_s
+            status = await self._connections[target_id].inspect()
+            if status is not None and self._leads(status, former_status):
+                return status.term
+            await trio.sleep(POLL_INTERVAL_S)
         return None
 
+    def _leads(self, status, former_status):
+        """Return whether an order has made a target primary.
+
+        To promote the present primary changes nothing, not even its term.
+        """
+        if status.role is not desired.Role.PRIMARY:
+            return False
+        return (
+            former_status.role is desired.Role.REPLICA
+            or status.term > former_status.term
+            or self._sender.outcome is promotion_sender.Outcome.ANSWERED
+        )
+
     async def _complete(self, target_id, term):
         """Record the new primary, then make the others follow it."""
         if not await self._record_completion(target_id, term):
             return False
         for _ in range(RESUME_ATTEMPTS):
+            if self._is_superseded():
+                return True
             is_incomplete = await self._reconfigure_others(target_id, term)
             if not is_incomplete:
                 break
@@ -291,11 +355,15 @@
     async def _record_completion(self, target_id, term):
         lead = fleet.Lead(target_id, term, self._node.settings.vm.name, False)
         write = store_port.Write(self._key, fleet.encode_record(lead))
+        settled_orders = self._sender.list_settled(target_id)
         try:
-            await self._store.commit({self._key: self._revision}, [write])
+            revision = await self._store.commit(
+                {self._key: self._revision}, [write], settled_orders
+            )
         except exceptions.PlatformError as error:
             self._log("lead not settled", target=target_id, why=str(error))
             return False
+        self._own_revisions.add(revision)
         self._log("lead settled", target=target_id, term=term)
         await self._view_exchange.notify_all()
         return True
@@ -417,11 +485,6 @@
     return max(terms)
 
 
-def _is_primary_after(status, term):
-    is_primary = status.role is desired.Role.PRIMARY
-    return is_primary and status.term > term
-
-
 async def _make_replica(connection, term):
     """Make a replica resume replication, or a former primary step down."""
     status = await connection.inspect()
--- a/tests/unit/platform/test_records.py
+++ b/tests/unit/platform/test_records.py
@@ -87,6 +87,10 @@
             fleet.make_acknowledgement_key("g", "vm"),
             fleet.Acknowledgement("vm", 9),
         ),
+        (
+            fleet.make_order_key("g"),
+            fleet.PromotionOrder("i-1", 9, "vm"),
+        ),
     ],
 )
 def test_own_records_round_trip(key, record):
