Check a transaction's key before each statement, COMMIT included

Cause: the check of an open transaction asked whether any team holds the key, not whether the team does that the transaction was admitted for, and COMMIT did not ask at all. Ruled out: pooled connections are kept by team.

Change: one check compares the key's present team with the admitted one, for reads, writes, EXECUTE and COMMIT, also on public routes. A moved key ends the transaction as rolled back, so that the caller may repeat it as the new team. The same check stands once more right before a statement is sent, as it may have waited for a connection since.

Tests failed before: test_transaction_ends_when_its_key_moves_to_another_team, test_commit_is_refused_once_its_key_is_withdrawn, test_statement_that_waits_is_not_sent_once_its_key_is_withdrawn.

--- a/src/geraniumridge/_internal/proxy/admission.py
+++ b/src/geraniumridge/_internal/proxy/admission.py
@@ -63,21 +63,27 @@
         admission_result = self._check_access()
         return admission_result.outcome
 
-    def check_key(self):
-        """Return the outcome that ends an open transaction, or None.
-
-        A transaction ends when its key was removed, or when the store
-        view is too old to tell whether it was.
+    def check_key(self, route, team):
+        """Return the outcome that ends an admitted operation, or None.
+
+        An operation ends when its key was removed or given to another team,
+        or when the store view is too old to tell whether it was.
+
+        Parameters
+        ----------
+        route : desired.Route
+            Route for which the operation was admitted.
+        team : str
+            Team for which it was admitted, `NO_TEAM` without one.
         """
-        state = self._node.view.state
-        route = state.routes.get(self._database)
-        if route is not None and route.is_public:
-            return None
-        if not self._is_view_within(self._node.max_key_age_s):
-            return Outcome.ROLLED_BACK
-        if self._key not in state.keys:
+        current_team = self.team
+        if current_team is None and not route.is_public:
             return Outcome.UNAUTHORIZED
-        return None
+        if team != (current_team or NO_TEAM):
+            return Outcome.ROLLED_BACK
+        if team == NO_TEAM or self._is_view_within(self._node.max_key_age_s):
+            return None
+        return Outcome.ROLLED_BACK
 
     async def admit(self):
         """Return the `AdmissionResult` for one operation.
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -153,6 +153,10 @@
         transaction stays open on it. `epoch` is the epoch in which the
         transaction began, or None outside a transaction.
         """
+        if context.session.check_key(context.route, context.team) is not None:
+            # It was checked before the statement waited for a connection.
+            self._node.pools.get(destination.target.id).discard(connection)
+            raise exceptions.NotSentError("the key no longer holds")
         if not destination.is_primary:
             return await self._send_statement(
                 context, destination, connection, deadline, 0
--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -94,6 +94,10 @@
         """Return the `Outcome` that refuses a new session, or None."""
         return self._admission.check_start()
 
+    def check_key(self, route, team):
+        """Return the `Outcome` that ends an admitted operation, or None."""
+        return self._admission.check_key(route, team)
+
     async def execute(self, statement):
         """Run one statement and return its `statements.Answer`."""
         began_at = clock.now()
@@ -202,6 +206,10 @@
             )
         if self._transaction is None:
             return make_refusal(Outcome.MALFORMED, "not in a transaction")
+        refusal = await self._refuse_without_key()
+        if refusal is not None:
+            self._has_failed = False
+            return refusal
         ended, self._transaction = self._transaction, None
         return await ended.commit(statement)
 
@@ -236,15 +244,28 @@
     async def _run(self, statement, is_write):
         if self._transaction is None:
             return await self._run_autocommit(statement, is_write)
-        refused = self._admission.check_key()
-        if refused is not None:
-            await self.fail_transaction()
-            return make_refusal(refused, "the key no longer holds")
+        refusal = await self._refuse_without_key()
+        if refusal is not None:
+            return refusal
         answer = await self._transaction.run(statement, is_write)
         if not answer.is_success:
             await self.fail_transaction()
         return answer
 
+    async def _refuse_without_key(self):
+        """Fail the transaction if its key no longer holds.
+
+        Returns
+        -------
+        statements.Answer or None
+            The refusal of the statement, None if the key still holds.
+        """
+        outcome = self._transaction.check_key()
+        if outcome is None:
+            return None
+        await self.fail_transaction()
+        return make_refusal(outcome, "the key no longer holds")
+
     async def _run_autocommit(self, statement, is_write):
         admission_result = await self._admission.admit()
         if admission_result.outcome is not None:
--- a/src/geraniumridge/_internal/proxy/transaction.py
+++ b/src/geraniumridge/_internal/proxy/transaction.py
@@ -42,6 +42,11 @@
         self._has_written = False
         self._is_rolled_back = False
 
+    def check_key(self):
+        """Return the outcome that ends it as its key fails, or None."""
+        admitted = self._admission_result
+        return self._session.check_key(admitted.route, admitted.team)
+
     async def run(self, statement, is_write):
         """Run a statement of the transaction.
 
--- a/tests/functional/test_proxy_path.py
+++ b/tests/functional/test_proxy_path.py
@@ -179,6 +179,72 @@
     assert (await caller.query("READ a"))[0].startswith("ERROR NOAUTH")
 
 
+def make_tenants(holder):
+    """Return two teams, one of which, or neither, holds the key."""
+    return [
+        {
+            "name": name,
+            "apiKeys": [f"{name}-key"] + (["key"] if name == holder else []),
+            "ratePerS": 900,
+            "burst": 900,
+        }
+        for name in ("team", "other")
+    ]
+
+
+async def begin_and_move_key(cluster, proxy, holder):
+    """Return a caller whose key changes hands after its first write."""
+    caller = await cluster.connect(proxy)
+    await caller.query("BEGIN")
+    assert is_success(await caller.query("WRITE a 1"))
+    config = proxies.make_config(2, tenants=make_tenants(holder))
+    cluster.store.put("op/config", config)
+    await trio.sleep(0.1)
+    return caller
+
+
+@run_in_cluster
+async def test_transaction_ends_when_its_key_moves_to_another_team(
+    cluster, proxy
+):
+    """Guards against statements that run as the key's former team."""
+    for text in ("READ a", "WRITE a 2", "COMMIT"):
+        cluster.store.put("op/config", proxies.make_config(1))
+        await trio.sleep(0.1)
+        caller = await begin_and_move_key(cluster, proxy, "other")
+        executed = cluster.group.instances["i-0"].executed
+        executed_before = len(executed)
+        assert (await caller.query(text))[0].startswith("ERROR ABORTED")
+        assert len(executed) == executed_before
+        assert "a" not in cluster.group.instances["i-0"].data
+
+
+@run_in_cluster
+async def test_commit_is_refused_once_its_key_is_withdrawn(cluster, proxy):
+    """Guards against a COMMIT that is let through where a WRITE is not."""
+    caller = await begin_and_move_key(cluster, proxy, None)
+    lines = await caller.query_all("COMMIT")
+    assert lines[0].startswith("ERROR NOAUTH")
+    assert lines[-1] == "READY I -"
+    assert "a" not in cluster.group.instances["i-0"].data
+
+
+@run_in_cluster
+async def test_statement_that_waits_is_not_sent_once_its_key_is_withdrawn(
+    cluster, proxy
+):
+    """Guards against a key check that a wait for a connection outdates."""
+    caller = await cluster.connect(proxy)
+    primary = cluster.group.instances["i-0"]
+    primary.connect_time_s = 0.2
+    cluster.nursery.start_soon(caller.query, "WRITE a 1")
+    await trio.sleep(0.1)
+    config = proxies.make_config(2, tenants=make_tenants("other"))
+    cluster.store.put("op/config", config)
+    await trio.sleep(0.5)
+    assert "a" not in primary.data
+
+
 @run_in_cluster
 async def test_vm_cut_off_from_the_store_closes_its_connections(
     cluster, proxy
