Let no entry of another writer stop a VM or a group

Nested, huge and unreadable values were ignored already.

Cause: records were checked for types, not for values, and errors of use were left to whoever used them. A leadership record that cannot be decoded counted as none, so each VM fell back to the role that instances claim.

Change: addresses, counts, names and the match of key and content are checked where a record is decoded, for instances and for all records of our own; whatever fails there is logged and left out. An unreadable leadership record counts as a failover that nobody runs, an unreadable order as outstanding, so that all VMs act alike. Unknown fields are ignored, as a later version may write them.

--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -169,7 +169,7 @@
 
     The old primary may already replicate from the new one and report the
     new term, so its own term counts only while its role is primary. If the
-    record names no old primary, any primary counts.
+    record names no old primary, one of the record's term counts too.
 
     Parameters
     ----------
@@ -193,7 +193,10 @@
         if target_id != lead.target
         and status is not None
         and status.role is desired.Role.PRIMARY
-        and (status.term > min_term or not lead.target)
+        and (
+            status.term > min_term
+            or (not lead.target and status.term == min_term)
+        )
     ]
     return max(
         candidates,
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -289,6 +289,8 @@
             self._delete_entry(now, item.key)
             return
         record = self._decode(item.key, item.value)
+        if record is fleet.UNREADABLE_LEAD and known is not None:
+            record = _suspend_lead(known.record)
         if known is not None and type(record) is not type(known.record):
             self._discard_record(now, item.key, known.record)
         self._entries[item.key] = Entry(item.revision, record)
@@ -380,6 +382,17 @@
         return now - self._outage_ended_at < REREGISTRATION_GRACE_S
 
 
+def _suspend_lead(former):
+    """Return the record to use in place of one that cannot be decoded.
+
+    It keeps the primary that the former one names, as a failover in progress
+    that nobody runs.
+    """
+    if not isinstance(former, fleet.Lead):
+        return fleet.UNREADABLE_LEAD
+    return former._replace(holder="", is_pending=True)
+
+
 def _make_departed_target(group, recorded):
     """Return a target of which only identity and address are known."""
     return desired.Target(
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from geraniumridge._internal import exceptions
+from geraniumridge._internal.utils import addresses
 from geraniumridge._internal.utils import codec
 
 LEADS_PREFIX = "geraniumridge/leads/"
@@ -18,6 +20,10 @@
 ORDERS_PREFIX = "geraniumridge/orders/"
 
 
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""A term or revision; larger ones come from a broken writer."""
+
+
 class Lead(typing.NamedTuple):
     """Leadership record of a group: its primary, or a failover.
 
@@ -29,11 +35,16 @@
     """
 
     target: str
-    term: int
+    term: Count
     holder: str
     is_pending: bool
 
 
+UNREADABLE_LEAD = Lead("", 0, "", True)
+"""Stands for a leadership record that cannot be decoded: no VM may use a
+primary until one of them has completed a failover."""
+
+
 class Member(typing.NamedTuple):
     """Registration of one VM, which its lease keeps alive.
 
@@ -57,7 +68,7 @@
     """
 
     vm: str
-    revision: int
+    revision: Count
 
 
 class RecordedTarget(typing.NamedTuple):
@@ -77,10 +88,15 @@
     """
 
     target: str
-    fence: int
+    fence: Count
     holder: str
 
 
+UNREADABLE_ORDER = PromotionOrder("", 0, "")
+"""Stands for an order that cannot be decoded: until it expires, no target
+becomes primary."""
+
+
 class TargetSet(typing.NamedTuple):
     """All targets of a group that may hold acknowledged commits.
 
@@ -153,14 +169,55 @@
 def decode_record(key, value):
     """Decode a record; return None if its key has none of the prefixes.
 
+    Fields that this version does not know are left out.
+
     Raises
     ------
     exceptions.SettingsError
-        If a field is missing or of another type.
+        If a field is missing, of another type or out of its bounds, or does
+        not match the key.
     msgspec.DecodeError
         If the value is not JSON.
     """
     for prefix, kind in RECORD_TYPES.items():
         if key.startswith(prefix):
-            return codec.decode(kind, msgspec.json.decode(value), key)
+            data = msgspec.json.decode(value)
+            record = codec.decode(kind, data, key, ignores_unknown_keys=True)
+            _check_record(key, record)
+            return record
+    return None
+
+
+def get_unreadable_record(key):
+    """Return what stands for a record that cannot be decoded, or None."""
+    if key.startswith(LEADS_PREFIX):
+        return UNREADABLE_LEAD
+    if key.startswith(ORDERS_PREFIX):
+        return UNREADABLE_ORDER
     return None
+
+
+def _check_record(key, record):
+    """Check the fields whose values `codec` does not check."""
+    problems = []
+    if isinstance(record, Member) and key != make_member_key(record.vm):
+        problems.append("vm: Does not match the key")
+    if isinstance(record, Acknowledgement):
+        group = parse_acknowledgement_group(key)
+        if key != make_acknowledgement_key(group, record.vm):
+            problems.append("vm: Does not match the key")
+    for address in _list_addresses(record):
+        try:
+            addresses.check_ip_address(address)
+        except ValueError as error:
+            problems.append(f"address: {error}")
+    if problems:
+        raise exceptions.SettingsError(key, problems)
+
+
+def _list_addresses(record):
+    if isinstance(record, Member):
+        return [record.address]
+    if isinstance(record, TargetSet):
+        return [target.address for target in record.targets]
+    return []
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -141,15 +141,16 @@
         try:
             await self._socket.sendto(encode(message), address)
         except OSError as error:
-            logger.info(
-                "datagram not sent",
-                extra={"event": "datagram_failed", "why": str(error)},
-            )
+            _log_not_sent(error)
 
     async def send_to_members(self, message, members):
         """Send a message to several `fleet.Member`."""
         for member in members:
-            address = streams.split_address(member.address)
+            try:
+                address = streams.split_address(member.address)
+            except exceptions.NotSentError as error:
+                _log_not_sent(error)
+                continue
             await self.send(message, address)
 
     async def query(self, query, member, timeout_s):
@@ -215,3 +216,10 @@
                 "datagram not handled",
                 extra={"event": "fault", "type": type(message).__name__},
             )
+
+
+def _log_not_sent(error):
+    logger.info(
+        "datagram not sent",
+        extra={"event": "datagram_failed", "why": str(error)},
+    )
--- a/src/geraniumridge/_internal/network/streams.py
+++ b/src/geraniumridge/_internal/network/streams.py
@@ -1,19 +1,15 @@
 """TCP streams, with TLS if it is configured."""
 
-import re
 import ssl
 
 import trio
 
 from geraniumridge._internal import exceptions
+from geraniumridge._internal.utils import addresses
 
 CONNECT_TIMEOUT_S = 1.0
 """Default timeout of a connection attempt, TLS handshake included."""
 
-MAX_PORT = 65_535
-
-_PORT_PATTERN = re.compile("[0-9]{1,5}")
-
 _source_host = trio.lowlevel.RunVar("source_host", default=None)
 
 
@@ -30,13 +26,10 @@
     exceptions.NotSentError
         If the address is malformed.
     """
-    host, _, port = address.rpartition(":")
-    host = host.strip("[]")
-    is_host = host.isascii() and "\0" not in host
-    is_port = _PORT_PATTERN.fullmatch(port) and int(port) <= MAX_PORT
-    if not (is_host and is_port):
-        raise exceptions.NotSentError(f"{address!r}: malformed address")
-    return host, int(port)
+    try:
+        return addresses.split(address)
+    except ValueError as error:
+        raise exceptions.NotSentError(str(error))
 
 
 def make_server_context(tls, require_peer):
--- a/src/geraniumridge/_internal/utils/codec.py
+++ b/src/geraniumridge/_internal/utils/codec.py
@@ -25,7 +25,15 @@
     return typing.get_type_hints(cls, include_extras=True)
 
 
-def decode(expected_type, data, source):
+class _Problems(list):
+    """Errors of one input, and whether unknown keys are errors."""
+
+    def __init__(self, ignores_unknown_keys):
+        super().__init__()
+        self.ignores_unknown_keys = ignores_unknown_keys
+
+
+def decode(expected_type, data, source, ignores_unknown_keys=False):
     """Decode plain data into a named tuple.
 
     Parameters
@@ -37,6 +45,9 @@
         Parsed TOML or JSON.
     source : str
         Name of the input, for error messages.
+    ignores_unknown_keys : bool, optional
+        Whether keys that no field has are left out; otherwise they are
+        errors.
 
     Returns
     -------
@@ -48,7 +59,7 @@
     exceptions.SettingsError
         If the data does not match; has one line per error.
     """
-    problems = []
+    problems = _Problems(ignores_unknown_keys)
     value = _decode(expected_type, data, "", problems)
     if problems:
         raise exceptions.SettingsError(source, problems)
@@ -108,7 +119,8 @@
         problems.append(f"{path or 'document'}: Expected a table")
         return None
     field_types = get_field_types(expected_type)
-    for key in data.keys() - field_types.keys():
+    unknown_keys = data.keys() - field_types.keys()
+    for key in () if problems.ignores_unknown_keys else unknown_keys:
         known_keys = ", ".join(sorted(field_types))
         problems.append(
             f"{_join(path, key)}: Unknown key (known: {known_keys})"
