Take no empty log of a restarted replica as proof

One replica received nothing, the other one and the primary crashed; the other one started again under its id, empty, and the lagging one was promoted.

Cause: the position that a replica reports counted as a bound on all that it ever received, whichever run of it reports. Ruled out: the order in doubt, as no order was sent before.

Change: the view notes when a target started again under its id (`born`). For 30 s, as for one that left, its status is a proof only together with an answer of the primary that was sent after that. A log that is empty though others hold commits counts as lost for 5 s even if no restart is registered yet. The holder asks another VM for such an answer if it has none. A log without a position ("-") reads as empty.

Not covered: a VM that has itself started after the replica's restart, and a replica that received part of the log again before the primary crashed.

Tests failed before: test_lost_logs.py (the module is new), test_replica_that_lost_its_log_is_no_proof.

--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/lost_logs.py
@@ -0,0 +1,78 @@
+"""Which replicas may have lost the log that they held before a failover.
+
+A target that starts again under its id holds nothing of what it had
+received. Its status then does not tell which commits it had acknowledged.
+"""
+
+from geraniumridge._internal.decisions import target_sets
+
+REGISTRATION_WAIT_S = 5.0
+"""How long a replica whose log is empty counts as started again although the
+view does not show that. It registers within a heartbeat, and the view follows
+the store."""
+
+
+class LostLogs:
+    """Replicas that may have lost their log, as one failover sees them."""
+
+    def __init__(self):
+        self._empty_since = {}
+
+    def get_loss_time(self, target_id, view):
+        """Return the clock time at which a target's log was seen to be gone.
+
+        That is when its entry was removed or showed that it had started
+        again.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        view : decisions.view.View
+            The store view.
+
+        Returns
+        -------
+        float or None
+            In seconds; None if neither is known.
+        """
+        times = [
+            view.get_removal_time(target_id),
+            view.get_restart_time(target_id),
+            self._empty_since.get(target_id),
+        ]
+        return max((item for item in times if item is not None), default=None)
+
+    def may_be_lost(self, target_id, status, reported_position, view, now):
+        """Return whether a replica may have lost its log lately.
+
+        Parameters
+        ----------
+        target_id : str
+            The replica.
+        status : desired.TargetStatus or None
+            Its status, None if it did not answer.
+        reported_position : records.LogPosition
+            The highest position that any replica has reported.
+        view : decisions.view.View
+            The store view.
+        now : float
+            Clock time, in seconds.
+
+        Returns
+        -------
+        bool
+            False again once the primary has had
+            `target_sets.DEPARTED_TARGET_WAIT_S` to return with its log.
+        """
+        restarted_at = view.get_restart_time(target_id)
+        if restarted_at is not None:
+            return now - restarted_at <= target_sets.DEPARTED_TARGET_WAIT_S
+        if status is None:
+            return False
+        if status.received.position:
+            self._empty_since.pop(target_id, None)
+            return False
+        since = self._empty_since.setdefault(target_id, now)
+        has_commits = reported_position.position > 0
+        return has_commits and now - since <= REGISTRATION_WAIT_S
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -26,15 +26,18 @@
     """A target of the group and its status, None if it did not answer.
 
     `may_be_promoted` is false of a target that is draining, evacuated or
-    no longer registered; its status still counts. `covering_position` is
-    a log position that covers every commit that the target received before
-    its entry was removed, None while it is registered or if none is known.
+    no longer registered; its status still counts. `may_have_lost_log` is
+    whether it may have started again without its log, so that its status
+    does not tell what it held before. `covering_position` is a log position
+    that covers every commit that the target received before its entry was
+    removed or it started again, None if none is known.
     """
 
     target: desired.Target
     status: desired.TargetStatus | None
     may_be_promoted: bool
     covering_position: records.LogPosition | None = None
+    may_have_lost_log: bool = False
 
 
 class Acknowledgements:
@@ -246,7 +249,16 @@
 
 
 def _find_bound(replica):
-    """Return a position up to which a replica may hold commits, or None."""
-    if replica.status is not None:
-        return replica.status.received
-    return replica.covering_position
+    """Return a position up to which a replica may hold commits, or None.
+
+    It may have held them before it left or started again.
+    """
+    covering_position = replica.covering_position
+    if replica.status is None:
+        return covering_position
+    received = replica.status.received
+    if not replica.may_have_lost_log:
+        return received
+    if covering_position is None:
+        return None
+    return max(received, covering_position)
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -84,6 +84,7 @@
         self._orders = {}
         self._expiry_deadlines = {}
         self._removed_targets = {}
+        self._restart_times = {}
         self._complete_since = None
         self._outage_ended_at = None
 
@@ -181,6 +182,14 @@
             return None
         return item.seen_at
 
+    def get_restart_time(self, target_id):
+        """Return the clock time at which a target's restart was seen.
+
+        None unless it started again under its id, and once that is
+        forgotten.
+        """
+        return self._restart_times.get(target_id)
+
     def list_recently_removed(self, group, now, within_s):
         """Return a group's targets that were removed recently."""
         return [
@@ -276,6 +285,9 @@
         for target_id, item in list(self._removed_targets.items()):
             if now - item.seen_at > REMOVED_RETENTION_S:
                 del self._removed_targets[target_id]
+        for target_id, seen_at in list(self._restart_times.items()):
+            if now - seen_at > REMOVED_RETENTION_S:
+                del self._restart_times[target_id]
         for expired_id, deadline in list(self._expiry_deadlines.items()):
             if now >= deadline:
                 del self._expiry_deadlines[expired_id]
@@ -305,6 +317,7 @@
         if isinstance(record, desired.DesiredState):
             self._state = record
         elif isinstance(record, desired.Target):
+            self._note_restart(now, record)
             self._add_target(record)
         elif isinstance(record, Evacuation):
             self._evacuated.add(record.domain)
@@ -354,6 +367,13 @@
         elif isinstance(record, fleet.PromotionOrder):
             self._orders.pop(fleet.parse_order_group(key), None)
 
+    def _note_restart(self, now, target):
+        known = self._targets.get(target.id) or self.find_departed(target.id)
+        if known is None or not known.started_ms:
+            return
+        if known.started_ms != target.started_ms:
+            self._restart_times[target.id] = now
+
     def _add_target(self, target):
         known = self._targets.get(target.id)
         if known is not None and known.group != target.group:
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions import lost_logs
 from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.decisions import target_sets
@@ -88,6 +89,7 @@
         self._pending_since = pending_since
         self._connections = {}
         self._reported_position = records.LOG_START
+        self._logs = lost_logs.LostLogs()
         self._was_order_logged = False
         self._sender = promotion_sender.PromotionSender(
             node, store, promoter, group, self._revision
@@ -226,16 +228,14 @@
         paused_statuses = await control.ask_all(
             self._list_others(), lambda item: item.pause(term + 1)
         )
+        self._note_reported(paused_statuses.values())
+        await self._fetch_covering_position()
         replicas = [
-            succession.Replica(
-                item.target,
-                paused_statuses[item.target.id],
-                may_be_promoted,
-                self._find_covering_position(item.target.id),
+            self._make_replica(
+                item.target, paused_statuses[item.target.id], may_be_promoted
             )
             for item, may_be_promoted in self._list_candidates()
         ]
-        self._note_reported(paused_statuses.values())
         chosen = succession.choose_successor(
             replicas, min_position, self._reported_position
         )
@@ -259,19 +259,46 @@
     def _may_order(self, target_id):
         return self._may_continue() and self._may_send_order(target_id)
 
+    def _make_replica(self, target, status, may_be_promoted):
+        return succession.Replica(
+            target,
+            status,
+            may_be_promoted,
+            self._find_covering_position(target.id),
+            self._logs.may_be_lost(
+                target.id,
+                status,
+                self._reported_position,
+                self._node.view,
+                clock.now(),
+            ),
+        )
+
     def _find_covering_position(self, target_id):
-        """Return a position that covers a departed target's commits.
+        """Return a position that covers what a target held before, if known.
 
-        A commit that the primary acknowledged before the removal of the
-        target's entry was seen is covered by its answer to a statement
+        A commit that the primary acknowledged before the target was seen to
+        have left or started again is covered by its answer to a statement
         sent after that. The newest answer also covers later commits of a
         target that has only lost the store.
         """
-        removed_at = self._node.view.get_removal_time(target_id)
-        if removed_at is None:
+        since = self._logs.get_loss_time(target_id, self._node.view)
+        if since is None:
             return None
         positions = self._node.get_log_positions(self._group)
-        return positions.find_newest_since(removed_at)
+        return positions.find_newest_since(since)
+
+    async def _fetch_covering_position(self):
+        """Ask another VM for a covering position if this one has none."""
+        loss_times = [
+            self._logs.get_loss_time(target_id, self._node.view)
+            for target_id in self._connections
+        ]
+        since = max(
+            (item for item in loss_times if item is not None), default=None
+        )
+        if since is not None:
+            await self._node.position_exchange.fetch(self._group, since)
 
     def _note_reported(self, statuses):
         for status in statuses:
