Pass rows of a large answer on as they arrive

Cause: the whole answer was gathered, then copied twice, before its first row was sent.

The statement then runs nowhere else and has the route's whole time; if the answer fails midway, the session ends, as only a broken connection promises nothing.

test_large_answer_does_not_fill_the_memory failed before: 80 MB in rows of 500 kB, highest memory under 150 MB.

--- a/src/geraniumridge/_internal/exceptions.py
+++ b/src/geraniumridge/_internal/exceptions.py
@@ -47,6 +47,10 @@
     """Input from the other side that violates the protocol."""
 
 
+class AnswerInterruptedError(GeraniumridgeError):
+    """Answer of which a caller has received some rows but not the end."""
+
+
 class PlatformError(GeraniumridgeError):
     """Failed operation of the platform's key-value service."""
 
--- a/src/geraniumridge/_internal/ports/targets.py
+++ b/src/geraniumridge/_internal/ports/targets.py
@@ -12,12 +12,15 @@
     """A statement to send to a target.
 
     `id` is empty for statements of the proxy itself. `min_position` is the
-    position that the target's log must have reached.
+    position that the target's log must have reached. `send_rows` is an
+    async function that takes the rows of a large answer, in parts; the
+    answer then has the remaining ones. Without it the answer has all.
     """
 
     id: str
     text: bytes
     min_position: records.LogPosition | None = None
+    send_rows: typing.Callable | None = None
 
 
 class Link(typing.Protocol):
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -246,20 +246,31 @@
             if context.begin_read_only is None
             else None
         )
+        rows = context.session.row_stream
         call = targets.Call(
-            context.statement.id, context.statement.text, min_position
+            context.statement.id,
+            context.statement.text,
+            min_position,
+            rows.send_rows,
         )
         sent_at = clock.now()
         call_number = pool.load.begin(sent_at)
         answer = None
         try:
-            with trio.move_on_at(deadline):
+            with trio.move_on_at(deadline) as scope:
+                rows.extend_on_begin(
+                    scope, rows.started_at + context.route.timeout_s
+                )
                 (answer,) = await connection.link.call([call])
+        except exceptions.ConnectionLostError as error:
+            _check_not_begun(rows, str(error))
+            raise
         finally:
             pool.load.end(call_number, clock.now(), answer is not None)
             if answer is None:
                 pool.discard(connection)
         if answer is None:
+            _check_not_begun(rows, "timed out")
             pool.load.note_failure(clock.now())
             if destination.is_primary and context.commits_writes:
                 self._node.get_primary_usage(
@@ -268,6 +279,9 @@
             raise exceptions.ConnectionLostError(
                 f"{destination.target.id}: silent"
             )
+        if not answer.is_success and rows.has_begun:
+            pool.discard(connection)
+            _check_not_begun(rows, answer.outcome.value)
         pool.load.note_position(answer.position, clock.now())
         _note_outcome(pool.load, answer, sent_at)
         if destination.is_primary:
@@ -314,6 +328,18 @@
             pool.discard(connection)
 
 
+def _check_not_begun(rows, reason):
+    """Check that no row of a failed answer has been passed on.
+
+    Raises
+    ------
+    exceptions.AnswerInterruptedError
+        If one has, so that the statement cannot run at another target.
+    """
+    if rows.has_begun:
+        raise exceptions.AnswerInterruptedError(reason)
+
+
 def _note_outcome(load, answer, sent_at):
     """Note whether a target is overloaded, by its answer."""
     if answer.outcome is statements.Outcome.OVERLOADED:
--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -3,10 +3,13 @@
 import logging
 import typing
 
+import trio
+
 from geraniumridge._internal.kernel import registry
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.proxy import admission
 from geraniumridge._internal.proxy import autocommit
+from geraniumridge._internal.proxy import row_stream
 from geraniumridge._internal.proxy import transaction
 from geraniumridge._internal.utils import clock
 
@@ -51,6 +54,7 @@
         self._has_failed = False
         self._is_running = False
         self._commit_positions = {}
+        self._row_stream = row_stream.RowStream()
         self.values = {}
         self.prepared = {}
 
@@ -71,6 +75,11 @@
         """Whether a statement is being run."""
         return self._is_running
 
+    @property
+    def row_stream(self):
+        """The `row_stream.RowStream` of the running statement."""
+        return self._row_stream
+
     @property
     def idle_limit_s(self):
         """Idle timeout of the open transaction in seconds, or None."""
@@ -98,9 +107,24 @@
         """Return the `Outcome` that ends an admitted operation, or None."""
         return self._admission.check_key(route, team)
 
-    async def execute(self, statement):
-        """Run one statement and return its `statements.Answer`."""
+    async def execute(self, statement, send_rows=None):
+        """Run one statement and return its `statements.Answer`.
+
+        Parameters
+        ----------
+        statement : statements.Statement
+            The statement.
+        send_rows : callable, optional
+            Async function that sends rows of a large answer to the caller;
+            the returned answer lacks them.
+
+        Raises
+        ------
+        exceptions.AnswerInterruptedError
+            If an answer failed of which the caller has received rows.
+        """
         began_at = clock.now()
+        self._row_stream = row_stream.RowStream(send_rows, trio.current_time())
         self._is_running = True
         try:
             answer = await self._run_handler(statement)
--- a/standins/linegroup.py
+++ b/standins/linegroup.py
@@ -6,10 +6,10 @@
 commands of the protocol. Tests inject faults through attributes:
 `is_silent` (leaves statements unanswered), `ignores_replication`,
 `lose_answers` (how many of the next statements run without an answer),
-`is_down`, `read_error` (code that refuses every read) and `cut_from`
-(names of instances that it cannot reach). `slots` bounds the statements
-and new connections that an instance works on at once; up to `queue_limit`
-more wait, and it refuses further statements.
+`is_down`, `read_error` (code that refuses every read), `rows_per_read`,
+`cut_from` (names of instances that it cannot reach). `slots` bounds the
+statements and new connections that an instance works on at once; up to
+`queue_limit` more wait, and it refuses further statements.
 """
 
 import contextlib
@@ -73,6 +73,7 @@
         self.cut_from = set()
         self.lose_answers = 0
         self.read_error = None
+        self.rows_per_read = 1
         self.executed = []
         self.connection_scopes = set()
         self._listener_scope = None
@@ -396,7 +397,9 @@
             return self._fail_statement(instance.read_error)
         await trio.sleep(instance.statement_time_s)
         row = {**instance.data, **self._pending_writes}.get(arguments, "none")
-        return self._finish_statement(statement_id, row)
+        return self._finish_statement(
+            statement_id, *[row] * instance.rows_per_read
+        )
 
     async def _do_write(self, statement_id, arguments):
         name, _, data = arguments.partition(" ")
--- a/tests/functional/test_proxy_process.py
+++ b/tests/functional/test_proxy_process.py
@@ -352,3 +352,43 @@
         assert "behind" in explanation
 
     run_process(test, tmp_path)
+
+
+MAX_MEMORY_KB = 150_000
+"""Half of the memory that the smallest VM has for a proxy."""
+
+
+def get_peak_memory_kb(pid):
+    """Return the highest resident memory of a process so far."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1])
+
+
+async def read_large_answer(cluster, process):
+    """Read 80 MB in rows of 500 kB; return the number of rows."""
+    caller = await process.connect()
+    assert is_success(await caller.query("WRITE list " + "x" * 500_000))
+    cluster.group.instances["i-0"].rows_per_read = 160
+    await caller.send("QUERY large READ list")
+    row_count = 0
+    while (line := await caller.read_line()).startswith("ROW "):
+        row_count += 1
+    assert line.startswith("COMPLETE d.large")
+    return row_count
+
+
+def test_large_answer_does_not_fill_the_memory(tmp_path):
+    """Guards against a proxy that holds a whole answer, and is killed."""
+
+    async def test(cluster, process):
+        await change_config(
+            cluster,
+            routes=[
+                {**route, "timeoutMs": 20_000}
+                for route in proxies.make_config()["routes"]
+            ],
+        )
+        assert await read_large_answer(cluster, process) == 160
+        assert get_peak_memory_kb(process.process.pid) < MAX_MEMORY_KB
+
+    run_process(test, tmp_path)
