--- a/tests/functional/test_proxy_process.py
+++ b/tests/functional/test_proxy_process.py
@@ -392,3 +392,22 @@
         assert get_peak_memory_kb(process.process.pid) < MAX_MEMORY_KB
 
     run_process(test, tmp_path)
+
+
+def test_reload_during_the_start_does_not_end_the_process(tmp_path):
+    async def test(cluster, process):
+        assert process.process.poll() is None
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            for delay_s in (0.05, 0.15, 0.25):
+                process = ProxyProcess(cluster, tmp_path)
+                try:
+                    await trio.sleep(delay_s)
+                    process.process.send_signal(signal.SIGHUP)
+                    await process.wait_ready()
+                    await test(cluster, process)
+                finally:
+                    process.kill()
+
+    trio.run(main)
