Add a seeded soak of proxies and their platform as processes

Four proxies, each behind a fault proxy of its own to the store and to the promotion API; store, API and the group are processes too (the group's three instances share one, as their replication does). Faults come from outside: links that hold bytes back and deliver them late, frozen, killed and stopped processes, instances that crash, drain, fall silent or start again empty. The oracle knows every acknowledged and refused write, and the fences of all orders as they arrive.

--- a/standins/linegroup.py
+++ b/standins/linegroup.py
@@ -214,6 +214,8 @@
                 continue
             if instance.name in primary.cut_from:
                 continue
+            if instance.term > primary.term:
+                continue
             instance.term = max(instance.term, primary.term)
             instance.log = list(primary.log)
             receiver_count += 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -25,6 +25,9 @@
 def pytest_addoption(parser):
     """Add the option that includes slow tests."""
     parser.addoption("--long", action="store_true", help="run slow tests too")
+    parser.addoption(
+        "--soak-seeds", default="1-2", help="FIRST-LAST, seeds of the soak"
+    )
 
 
 def pytest_collection_modifyitems(config, items):
--- /dev/null
+++ b/tests/functional/test_proxy_soak.py
@@ -0,0 +1,55 @@
+"""Proxies as processes under seeded faults; see `lib.soak`.
+
+``--soak-seeds FIRST-LAST`` runs other seeds. The folder of a failed run has
+the logs of all processes, and in ``run.txt`` the faults, the orders and what
+was violated.
+"""
+
+import functools
+
+import pytest
+import trio
+
+from lib import soak
+
+MIN_ACKNOWLEDGED = 100
+"""Acknowledged writes without which a run shows little."""
+
+
+def pytest_generate_tests(metafunc):
+    """Run the soak with each of the chosen seeds."""
+    if "seed" in metafunc.fixturenames:
+        first, _, last = metafunc.config.getoption("--soak-seeds").partition(
+            "-"
+        )
+        metafunc.parametrize("seed", range(int(first), int(last or first) + 1))
+
+
+def test_no_acknowledged_commit_is_lost_and_fences_increase(seed, tmp_path):
+    violations, oracle, _ = trio.run(
+        functools.partial(soak.run, seed, tmp_path)
+    )
+    assert not violations
+    assert len(oracle.acknowledged) >= MIN_ACKNOWLEDGED
+
+
+def test_oracle_reports_lost_refused_and_repeated_commits():
+    oracle = soak.Oracle()
+    oracle.note("a", "COMPLETE")
+    oracle.note("b", "BUSY")
+    oracle.note("c", "INDOUBT")
+    assert oracle.list_violations(["a", "c"], []) == []
+    assert len(oracle.list_violations(["b", "c", "c"], [])) == 3
+
+
+@pytest.mark.parametrize(
+    "orders, count",
+    [
+        ([("vm-1", 5), ("vm-1", 5), ("vm-2", 6)], 0),
+        ([("vm-1", 5), ("vm-2", 6), ("vm-1", 5)], 1),
+        ([("vm-1", 5), ("vm-2", 5)], 1),
+    ],
+)
+def test_oracle_reports_fences_that_fall_or_are_shared(orders, count):
+    seen = [{"holder": holder, "fence": fence} for holder, fence in orders]
+    assert len(soak.Oracle().list_violations([], seen)) == count
