--- a/tests/functional/test_proxy_soak.py
+++ b/tests/functional/test_proxy_soak.py
@@ -1,5 +1,7 @@
 """Proxies as processes under seeded faults; see `lib.soak`.
 
+Seed 5 once lost commits to an order to promote that was carried out late.
+
 ``--soak-seeds FIRST-LAST`` runs other seeds. The folder of a failed run has
 the logs of all processes, and in ``run.txt`` the faults, the orders and what
 was violated.
