--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -9,8 +9,8 @@
 
 TAKEOVER_AFTER_S = 6.0
 """Time since the last write of the leadership record after which another VM
-takes over a failover in progress; longer than `MAX_HOLDER_VIEW_AGE_S`, so
-that two VMs do not run it at once."""
+takes over a failover in progress. Both may run it for a while; only the new
+one can still send an order (see `promotion_orders`)."""
 
 MAX_HOLDER_VIEW_AGE_S = 2.0
 """Age of its store view up to which a VM goes on with a failover."""
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -8,13 +8,13 @@
 from geraniumridge._internal.decisions import lost_logs
 from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import succession
-from geraniumridge._internal.decisions import target_sets
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.models import records
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import control
+from geraniumridge._internal.proxy import group_connections
 from geraniumridge._internal.proxy import promotion_sender
 from geraniumridge._internal.utils import clock
 
@@ -87,7 +87,7 @@
         self._old_address = self._find_address(self._lead.target)
         self._may_keep_old = may_keep_old
         self._pending_since = pending_since
-        self._connections = {}
+        self._connections = group_connections.GroupConnections(node, group)
         self._reported_position = records.LOG_START
         self._logs = lost_logs.LostLogs()
         self._was_order_logged = False
@@ -111,13 +111,12 @@
                     return
                 await trio.sleep(RETRY_DELAY_S)
         finally:
-            for connection in self._connections.values():
-                connection.close()
+            self._connections.close()
 
     async def _query_targets(self):
         self._refresh_connections()
         await control.ask_all(
-            self._connections.values(), lambda connection: connection.inspect()
+            self._connections, lambda connection: connection.inspect()
         )
 
     def _may_continue(self):
@@ -167,7 +166,7 @@
         """Make one attempt; return whether the failover completed."""
         self._refresh_connections()
         statuses = await control.ask_all(
-            self._connections.values(), lambda connection: connection.inspect()
+            self._connections, lambda connection: connection.inspect()
         )
         old = statuses.get(self._lead.target)
         term = _find_newest_term(statuses.values(), self._lead.term)
@@ -178,7 +177,7 @@
             return await self._complete(primary, statuses[primary].term)
         is_still_primary = old is not None and old.role is desired.Role.PRIMARY
         if is_still_primary and self._may_keep_primary():
-            await self._resume_others(self._lead.target)
+            await self._resume_others()
             return await self._record_completion(self._lead.target, old.term)
         if not self._may_send_order():
             return False
@@ -226,15 +225,14 @@
 
     async def _promote(self, term, min_position):
         paused_statuses = await control.ask_all(
-            self._list_others(), lambda item: item.pause(term + 1)
+            self._connections.list_others(self._lead.target),
+            lambda item: item.pause(term + 1),
         )
         self._note_reported(paused_statuses.values())
         await self._fetch_covering_position()
         replicas = [
-            self._make_replica(
-                item.target, paused_statuses[item.target.id], may_be_promoted
-            )
-            for item, may_be_promoted in self._list_candidates()
+            self._make_replica(item.target, paused_statuses[item.target.id])
+            for item in self._connections.list_others(self._lead.target)
         ]
         chosen = succession.choose_successor(
             replicas, min_position, self._reported_position
@@ -249,7 +247,7 @@
             },
         )
         if chosen is None or not self._may_order(chosen.target.id):
-            await self._resume_others(None)
+            await self._resume_others()
             return False
         new_term = await self._order_promotion(chosen.target.id, chosen.status)
         if new_term is None:
@@ -259,11 +257,11 @@
     def _may_order(self, target_id):
         return self._may_continue() and self._may_send_order(target_id)
 
-    def _make_replica(self, target, status, may_be_promoted):
+    def _make_replica(self, target, status):
         return succession.Replica(
             target,
             status,
-            may_be_promoted,
+            self._connections.may_be_promoted(target.id),
             self._find_covering_position(target.id),
             self._logs.may_be_lost(
                 target.id,
@@ -291,8 +289,8 @@
     async def _fetch_covering_position(self):
         """Ask another VM for a covering position if this one has none."""
         loss_times = [
-            self._logs.get_loss_time(target_id, self._node.view)
-            for target_id in self._connections
+            self._logs.get_loss_time(item.target.id, self._node.view)
+            for item in self._connections
         ]
         since = max(
             (item for item in loss_times if item is not None), default=None
@@ -321,7 +319,7 @@
             new_term = await self._wait_until_primary(target_id, former_status)
             nursery.cancel_scope.cancel()
         if self._sender.outcome in promotion_sender.WITHOUT_EFFECT:
-            await self._resume_others(None)
+            await self._resume_others()
         return new_term
 
     async def _wait_until_primary(self, target_id, former_status):
@@ -331,7 +329,7 @@
             if deadline == math.inf and self._sender.outcome is not None:
                 wait_s = EFFECT_TIMEOUTS_S[self._sender.outcome]
                 deadline = trio.current_time() + wait_s
-            status = await self._connections[target_id].inspect()
+            status = await self._connections.get(target_id).inspect()
             if status is not None and self._leads(status, former_status):
                 return status.term
             await trio.sleep(POLL_INTERVAL_S)
@@ -369,13 +367,8 @@
         Returns whether some of them did not answer.
         """
         answers = await control.ask_all(
-            [
-                connection
-                for target_id, connection in self._connections.items()
-                if target_id != primary
-                and target_id in self._node.view.targets
-            ],
-            lambda connection: _make_replica(connection, term),
+            self._connections.list_registered_others(primary),
+            lambda connection: _follow_primary(connection, term),
         )
         return any(status is None for status in answers.values())
 
@@ -402,24 +395,29 @@
         """
         with trio.move_on_after(CATCH_UP_TIMEOUT_S):
             while True:
-                for connection, may_be_promoted in self._list_candidates():
-                    if not may_be_promoted:
-                        continue
+                for connection in self._list_candidates():
                     status = await connection.inspect()
                     if status is not None and status.received >= min_position:
                         return
                 await trio.sleep(POLL_INTERVAL_S)
 
-    async def _resume_others(self, primary):
+    def _list_candidates(self):
+        return [
+            item
+            for item in self._connections.list_others(self._lead.target)
+            if self._connections.may_be_promoted(item.target.id)
+        ]
+
+    async def _resume_others(self):
         await control.ask_all(
-            [
-                connection
-                for connection in self._list_others()
-                if connection.target.id != primary
-            ],
+            self._connections.list_others(self._lead.target),
             lambda connection: connection.resume(),
         )
 
+    def _refresh_connections(self):
+        self._follow_old_primary()
+        self._connections.refresh()
+
     def _find_address(self, target_id):
         """Return a target's address, None if it is no longer known."""
         view = self._node.view
@@ -436,58 +434,6 @@
             if is_primary and target.address == self._old_address:
                 self._lead = self._lead._replace(target=target.id)
 
-    def _refresh_connections(self):
-        self._follow_old_primary()
-        targets = {
-            item.id: item
-            for item in [
-                *self._node.view.list_group(self._group),
-                *self._list_departed(),
-            ]
-        }
-        for target_id in list(self._connections.keys() - targets.keys()):
-            self._connections.pop(target_id).close()
-        for target_id, target in targets.items():
-            if target_id not in self._connections:
-                self._connections[target_id] = control.ControlConnection(
-                    self._node.dialect, target
-                )
-
-    def _list_departed(self):
-        """Return the targets that left recently and have not returned.
-
-        A target that returns under another id has its log and address.
-        """
-        view = self._node.view
-        addresses = {item.address for item in view.list_group(self._group)}
-        recently_removed = view.list_recently_removed(
-            self._group, clock.now(), target_sets.DEPARTED_TARGET_WAIT_S
-        )
-        return [
-            item for item in recently_removed if item.address not in addresses
-        ]
-
-    def _list_others(self):
-        return [
-            connection
-            for target_id, connection in self._connections.items()
-            if target_id != self._lead.target
-        ]
-
-    def _list_candidates(self):
-        """Return pairs of connection and whether it may be promoted."""
-        view = self._node.view
-        pairs = []
-        for connection in self._list_others():
-            target = view.targets.get(connection.target.id)
-            may_be_promoted = (
-                target is not None
-                and not target.is_draining
-                and target.domain not in view.evacuated
-            )
-            pairs.append((connection, may_be_promoted))
-        return pairs
-
     def _log(self, message, **fields):
         event = message.replace(" ", "_")
         logger.info(
@@ -512,7 +458,7 @@
     return max(terms)
 
 
-async def _make_replica(connection, term):
+async def _follow_primary(connection, term):
     """Make a replica resume replication, or a former primary step down."""
     status = await connection.inspect()
     if status is None:
