Count own orders in doubt before the view shows their record

Found in reading the change: a failover that ended before the view showed the record of its repeated order removed that record though either of the two orders might still be carried out. The record stays now. test_orders_in_doubt_count_before_the_view_shows_their_record failed before.

--- a/src/geraniumridge/_internal/decisions/promotion_orders.py
+++ b/src/geraniumridge/_internal/decisions/promotion_orders.py
@@ -20,11 +20,13 @@
 class SendResult(typing.NamedTuple):
     """What is known of the orders that one run of a failover has sent.
 
-    `sent` counts them, `answered` those whose answer arrived.
+    `sent` counts them, `answered` those whose answer arrived; `target` is
+    that of the newest.
     """
 
     sent: int = 0
     answered: int = 0
+    target: str = ""
 
 
 def find_outstanding(seen, now):
@@ -91,8 +93,10 @@
     now : float
         Clock time, in seconds.
     """
-    outstanding = find_outstanding(seen, now)
-    if outstanding is None or result.answered == result.sent > 0:
+    if seen is not None and find_outstanding(seen, now) is None:
         return True
+    if not result.sent:
+        return seen is None
     # A single order that went unanswered is done once its target leads.
-    return result.sent == 1 and outstanding.target == primary
+    is_done = result.sent == 1 and result.target == primary
+    return is_done or result.answered == result.sent
--- a/src/geraniumridge/_internal/proxy/promotion_sender.py
+++ b/src/geraniumridge/_internal/proxy/promotion_sender.py
@@ -121,7 +121,9 @@
         return None
 
     async def _send_recorded(self, call, order):
-        self._result = self._result._replace(sent=self._result.sent + 1)
+        self._result = self._result._replace(
+            sent=self._result.sent + 1, target=order.target
+        )
         self._log("promotion sent", order.target, sent=self._result.sent)
         try:
             await call.send(self._group, order)
--- a/tests/unit/decisions/test_promotion_orders.py
+++ b/tests/unit/decisions/test_promotion_orders.py
@@ -53,9 +53,16 @@
 def test_orders_without_an_answer_may_be_outstanding_after_a_failover(
     sent, answered, primary, is_settled
 ):
-    result = SendResult(sent, answered)
+    result = SendResult(sent, answered, "i-1" if sent else "")
     assert (
         promotion_orders.is_settled(SEEN, primary, result, SEEN_AT)
         == is_settled
     )
     assert promotion_orders.is_settled(SEEN, primary, result, EXPIRED_AT)
+
+
+def test_orders_in_doubt_count_before_the_view_shows_their_record():
+    is_settled = promotion_orders.is_settled
+    assert not is_settled(None, "i-1", SendResult(2, 0, "i-1"), SEEN_AT)
+    assert is_settled(None, "i-1", SendResult(1, 0, "i-1"), SEEN_AT)
+    assert is_settled(None, "i-1", SendResult(), SEEN_AT)
