Remove a refused order's record only while it is that order's

What could happen: an order to promote was refused, and the delete of its record went unanswered. The store may carry it out seconds later; the record of a later order of the same failover was then removed, and a VM that took the failover over did not see that order and could keep another primary (LOST). Found by reading; not seen in a run.

Cause: the delete depended on the leadership record alone, which both orders share. Change: it also depends on the revision of the order's own record.

Test failed before: test_late_removal_of_a_refused_order_keeps_the_record_of_the_next.

--- a/src/geraniumridge/_internal/proxy/promotion_sender.py
+++ b/src/geraniumridge/_internal/proxy/promotion_sender.py
@@ -54,6 +54,7 @@
         self._order_key = fleet.make_order_key(group)
         self._result = promotion_orders.SendResult()
         self._outcome = None
+        self._order_revision = None
 
     @property
     def outcome(self):
@@ -115,7 +116,9 @@
         """Record an order; return why that failed, or None."""
         write = store_port.Write(self._order_key, fleet.encode_record(order))
         try:
-            await self._store.commit({self._lead_key: self._fence}, [write])
+            self._order_revision = await self._store.commit(
+                {self._lead_key: self._fence}, [write]
+            )
         except exceptions.PlatformError as error:
             return str(error) or type(error).__name__
         return None
@@ -147,14 +150,18 @@
     async def _withdraw(self):
         """Remove the record of a refused order.
 
-        Kept if an earlier order of this failover went unanswered.
+        Kept if an earlier order of this failover went unanswered. The
+        condition on the record's own revision keeps a delete that the store
+        carries out late from removing the record of a later order.
         """
         if self._result.answered < self._result.sent:
             return
+        expected = {
+            self._lead_key: self._fence,
+            self._order_key: self._order_revision,
+        }
         try:
-            await self._store.commit(
-                {self._lead_key: self._fence}, deletes=[self._order_key]
-            )
+            await self._store.commit(expected, deletes=[self._order_key])
         except exceptions.PlatformError as error:
             self._log("refused order not removed", None, why=str(error))
 
