Lend connections to targets between the VMs of a large fleet

Cause: a connection belongs to a team and a target allows 56; with 80 VMs and 82 teams hardly any idle one is the one that the next statement needs. Ruled out: keeping more of them open, as a target counts those of dead VMs.

Change: where half of a target's limit is less than the number of VMs, four VMs of its domain keep the connections and lend them for one statement or transaction. The lender passes bytes on and checks age and primary again. A VM that does not reach its lender opens a connection as before.

--- a/src/geraniumridge/_internal/network/peer_messages.py
+++ b/src/geraniumridge/_internal/network/peer_messages.py
@@ -278,3 +278,70 @@
         2: (TType.STRING, "target", True),
     }
     default_spec = [("group", None), ("target", None)]
+
+
+class SessionEntry(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.STRING, "name", True),
+        2: (TType.STRING, "value", True),
+    }
+    default_spec = [("name", None), ("value", None)]
+
+
+class LoanRequest(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.STRING, "target", True),
+        2: (TType.I64, "started_ms", True),
+        3: (TType.STRING, "team", True),
+        4: (TType.I32, "timeout_ms", True),
+    }
+    default_spec = [
+        ("target", None),
+        ("started_ms", None),
+        ("team", None),
+        ("timeout_ms", None),
+    ]
+
+
+class LoanGrant(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.BOOL, "is_granted", True),
+        2: (TType.BOOL, "is_lender", True),
+        3: (TType.STRING, "outcome", True),
+        4: (TType.STRING, "detail", True),
+        5: (TType.LIST, "values", (TType.STRUCT, SessionEntry), True),
+        6: (TType.LIST, "prepared", (TType.STRUCT, SessionEntry), True),
+    }
+    default_spec = [
+        ("is_granted", None),
+        ("is_lender", None),
+        ("outcome", None),
+        ("detail", None),
+        ("values", None),
+        ("prepared", None),
+    ]
+
+
+class LoanReturn(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.LIST, "values", (TType.STRUCT, SessionEntry), True),
+        2: (TType.LIST, "prepared", (TType.STRUCT, SessionEntry), True),
+    }
+    default_spec = [("values", None), ("prepared", None)]
+
+
+class LoanExpired(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.STRING, "reason", True),
+    }
+    default_spec = [("reason", None)]
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -159,3 +159,44 @@
   1: required string group
   2: required string target
 }
+
+/** A value or a prepared statement of a session, as it stands on a
+    connection. */
+struct SessionEntry {
+  1: required string name
+  2: required string value
+}
+
+/** Asks a lender for a connection of a team to a target that started at
+    `started_ms`, within `timeout_ms`. */
+struct LoanRequest {
+  1: required string target
+  2: required i64 started_ms
+  3: required string team
+  4: required i32 timeout_ms
+}
+
+/** Answers a loan request. Without a grant, `outcome` is that of the target's
+    refusal, empty if it gave none, and `is_lender` is false if the VM does
+    not lend connections to the target. `values` and `prepared` are the session
+    state on the connection. */
+struct LoanGrant {
+  1: required bool is_granted
+  2: required bool is_lender
+  3: required string outcome
+  4: required string detail
+  5: required list<SessionEntry> values
+  6: required list<SessionEntry> prepared
+}
+
+/** Returns a connection with the session state on it. */
+struct LoanReturn {
+  1: required list<SessionEntry> values
+  2: required list<SessionEntry> prepared
+}
+
+/** Tells a borrower that the statements it sent last were not passed on, and
+    that its connection has been closed. */
+struct LoanExpired {
+  1: required string reason
+}
--- a/src/geraniumridge/_internal/ports/targets.py
+++ b/src/geraniumridge/_internal/ports/targets.py
@@ -15,12 +15,39 @@
     position that the target's log must have reached. `send_rows` is an
     async function that takes the rows of a large answer, in parts; the
     answer then has the remaining ones. Without it the answer has all.
+    `is_primary` is whether the target has to be the group's primary.
     """
 
     id: str
     text: bytes
     min_position: records.LogPosition | None = None
     send_rows: typing.Callable | None = None
+    is_primary: bool = False
+
+
+class Transport(typing.Protocol):
+    """Bytes to and from a target.
+
+    `send` and `receive` raise `OSError` or `exceptions.ConnectionLostError`
+    when the connection breaks.
+    """
+
+    @property
+    def is_idle(self):
+        """Whether the connection is open, without unread input."""
+
+    async def send(self, data, is_primary=False):
+        """Send all of some bytes.
+
+        Raises `exceptions.NotSentError` if the target certainly does not
+        get them. `is_primary` is whether it has to be the primary for them.
+        """
+
+    async def receive(self):
+        """Return the next bytes, empty at the end of the connection."""
+
+    def abort(self):
+        """Reset the connection; undelivered bytes are dropped."""
 
 
 class Link(typing.Protocol):
@@ -34,6 +61,10 @@
     def is_open(self):
         """Whether further statements can be sent."""
 
+    @property
+    def transport(self):
+        """The `Transport` that carries its bytes."""
+
     async def call(self, calls):
         """Send calls in one batch; return their `statements.Answer` list."""
 
@@ -56,6 +87,12 @@
         came about within `timeout_s`.
         """
 
+    def attach(self, transport, name):
+        """Return a `Link` on a session that stands already.
+
+        `name` is that of the target, for error messages.
+        """
+
     def format_reset(self):
         """Return the statement that clears values and prepared names."""
 
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -206,7 +206,12 @@
     ):
         """Begin a transaction; return the answer if it is refused."""
         text = self._node.dialect.format_begin(context.begin_read_only)
-        call = targets.Call("", text, destination.min_position)
+        call = targets.Call(
+            "",
+            text,
+            destination.min_position,
+            is_primary=destination.is_primary,
+        )
         sent_at = clock.now()
         try:
             with trio.move_on_at(deadline):
@@ -216,7 +221,10 @@
                 _note_outcome(pool.load, answer, sent_at)
                 self._return_connection(pool, connection, answer)
                 return answer
-        except exceptions.ConnectionLostError as error:
+        except (
+            exceptions.ConnectionLostError,
+            exceptions.NotSentError,
+        ) as error:
             pool.discard(connection)
             raise exceptions.NotSentError(str(error))
         pool.load.note_failure(clock.now())
@@ -252,6 +260,7 @@
             context.statement.text,
             min_position,
             rows.send_rows,
+            destination.is_primary,
         )
         sent_at = clock.now()
         call_number = pool.load.begin(sent_at)
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -12,6 +12,9 @@
 from geraniumridge._internal.proxy import failover
 from geraniumridge._internal.proxy import follower
 from geraniumridge._internal.proxy import lease_relay
+from geraniumridge._internal.proxy.lending import borrower
+from geraniumridge._internal.proxy.lending import directory
+from geraniumridge._internal.proxy.lending import lender
 from geraniumridge._internal.proxy import limits
 from geraniumridge._internal.proxy import membership
 from geraniumridge._internal.proxy import position_exchange
@@ -98,6 +101,10 @@
             suspicion_exchange.SuspicionExchange(node, self._peers),
         )
         self._target_recorder = target_recorder.TargetRecorder(node, store)
+        lenders = directory.LenderDirectory(node)
+        self._lender = lender.Lender(node, lenders)
+        self._borrower = borrower.Borrower(node, lenders)
+        node.pools.set_borrower(self._borrower)
         self._supervisor = None
         self._applied_revision = 0
         node.limits = limits.Limits(node, self._peers)
@@ -124,6 +131,7 @@
         """Start the background tasks, none of whose errors ends the others."""
         self._supervisor = supervision.Supervisor(nursery)
         await self._peers.start(nursery)
+        await self._lender.start(nursery)
         self._lease_relay.start(self._supervisor)
         self._node.position_exchange.start(self._supervisor)
         for task in (
@@ -186,6 +194,7 @@
                 logger.info("reload", extra={"event": "reload"})
         logger.info("stopping", extra={"event": "stopping"})
         self._is_stopping = True
+        self._lender.stop()
         for cancel_scope in list(self._stop_scopes):
             cancel_scope.cancel()
         await self._drain()
@@ -205,6 +214,8 @@
         await self._wait_statements_ended(
             began_at + grace_s * STATEMENT_GRACE_SHARE
         )
+        with trio.move_on_at(began_at + grace_s * STATEMENT_GRACE_SHARE):
+            await self._lender.wait_idle()
         with trio.move_on_after(CHECK_INTERVAL_S * 5):
             await self._membership.leave()
         self._node.pools.close_idle()
@@ -250,6 +261,7 @@
             await trio.sleep(CLEANUP_INTERVAL_S)
             now = clock.now()
             self._node.pools.close_unused(self._node.view, now)
+            self._borrower.close_unused(now)
             if self._node.view_age.get_age(now) > self._node.max_key_age_s:
                 # No key is accepted at this age, and other VMs can use
                 # the limited connections of the targets.
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/lending/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to targets that VMs lend to each other."""
--- a/src/geraniumridge/_internal/proxy/metrics_server.py
+++ b/src/geraniumridge/_internal/proxy/metrics_server.py
@@ -46,6 +46,7 @@
             "targets": len(node.view.targets),
             "target_connections": node.pools.size,
             "idle_target_connections": node.pools.idle_count,
+            "borrowed_target_connections": node.pools.borrowed_count,
         }
         if node.view.state is not None:
             gauges["desired_version"] = node.view.state.version
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -1,13 +1,15 @@
 """Connection pools, one for each target.
 
 A target allows few connections, and all VMs share them, so a connection
-is acquired for a statement or transaction and released after it.
+is acquired for a statement or transaction and released after it. In a large
+fleet it is borrowed from another VM (see `proxy.lending`).
 """
 
 import logging
 
 import trio
 
+from geraniumridge._internal.decisions import connection_lending
 from geraniumridge._internal.decisions import connection_share
 from geraniumridge._internal.decisions import load
 from geraniumridge._internal.decisions import token_bucket
@@ -66,12 +68,16 @@
     ----------
     dialect : ports.targets.Dialect
         Protocol of the target.
+    borrower : proxy.lending.borrower.Borrower, optional
+        Borrows connections from other VMs.
     """
 
-    def __init__(self, dialect):
+    def __init__(self, dialect, borrower=None):
         self._dialect = dialect
+        self._borrower = borrower
         self._idle = []
         self._busy = set()
+        self._borrowed = set()
         self._opening = 0
         self._capacity_freed = trio.Event()
         self._limits = connection_share.PoolLimits(1, 1)
@@ -89,6 +95,11 @@
         """Number of open connections that no statement uses."""
         return len(self._idle)
 
+    @property
+    def borrowed_count(self):
+        """Number of connections that other VMs have lent to this one."""
+        return len(self._borrowed)
+
     def has_idle_connection(self, team):
         """Return whether an idle connection of a team is available."""
         return any(connection.team == team for connection in self._idle)
@@ -105,10 +116,11 @@
         while self._has_too_many_open() and self._close_oldest_idle():
             pass
 
-    async def acquire(self, target, team):
+    async def acquire(self, target, team, may_borrow=True):
         """Return a connection of a team; wait until one is available.
 
-        The caller sets a deadline.
+        The caller sets a deadline. `may_borrow` is whether the connection
+        may be one of another VM.
 
         Raises
         ------
@@ -121,6 +133,11 @@
             found = self._take_idle_connection(target, team)
             if found is not None:
                 return found
+            if may_borrow and self._borrower is not None:
+                found = await self._borrow(target, team)
+                if found is not None:
+                    return found
+                may_borrow = False
             if self._may_add_connection() or self._close_oldest_idle():
                 try:
                     return await self._open_connection(target, team)
@@ -139,6 +156,9 @@
 
     def release(self, connection):
         """Put back a connection on which no transaction is open."""
+        if connection in self._borrowed:
+            self._give_back(connection)
+            return
         self._busy.discard(connection)
         if not connection.link.is_open:
             connection.link.abort()
@@ -151,13 +171,17 @@
 
     def discard(self, connection):
         """Close a connection whose state is unknown."""
+        if connection in self._borrowed:
+            self._borrowed.discard(connection)
+            self._borrower.discard(connection.link)
+            return
         self._busy.discard(connection)
         connection.link.abort()
         self._notify_waiters()
 
     def abort_busy(self):
         """Abort all connections in use; their calls fail."""
-        for connection in list(self._busy):
+        for connection in (*self._busy, *self._borrowed):
             connection.link.abort()
 
     def close_idle(self, now=None):
@@ -215,6 +239,32 @@
         self._idle.pop(0).link.abort()
         return True
 
+    async def _borrow(self, target, team):
+        """Return a connection of another VM, None if there is no lender."""
+        try:
+            loan = await self._borrower.borrow(target, team)
+        except exceptions.TargetRefusedError as error:
+            if error.outcome is statements.Outcome.TOO_MANY_CONNECTIONS:
+                raise exceptions.ConnectionLimitError(str(error))
+            raise exceptions.NotSentError(str(error))
+        if loan is None:
+            return None
+        link, values, prepared = loan
+        connection = PooledConnection(link, target, team)
+        connection.values = values
+        connection.prepared = prepared
+        self._borrowed.add(connection)
+        return connection
+
+    def _give_back(self, connection):
+        self._borrowed.discard(connection)
+        if connection.link.is_open:
+            self._borrower.give_back(
+                connection.link, connection.values, connection.prepared
+            )
+        else:
+            self._borrower.discard(connection.link)
+
     async def _open_connection(self, target, team):
         self._opening += 1
         started_at = clock.now()
@@ -275,8 +325,14 @@
 
     def __init__(self, dialect):
         self._dialect = dialect
+        self._borrower = None
         self._pools = {}
 
+    @property
+    def borrowed_count(self):
+        """Number of connections that other VMs have lent to this one."""
+        return sum(pool.borrowed_count for pool in self._pools.values())
+
     @property
     def size(self):
         """Number of connections to all targets."""
@@ -291,10 +347,14 @@
         """Return the pool of a target; create it on first use."""
         pool = self._pools.get(target_id)
         if pool is None:
-            pool = ConnectionPool(self._dialect)
+            pool = ConnectionPool(self._dialect, self._borrower)
             self._pools[target_id] = pool
         return pool
 
+    def set_borrower(self, borrower):
+        """Let pools that are created from now on borrow connections."""
+        self._borrower = borrower
+
     def set_limits(self, view, vm):
         """Set a VM's share of each target's connection limit."""
         member_index = connection_share.find_index(vm, view.members)
@@ -306,8 +366,20 @@
             limits = connection_share.compute_limits(
                 settings.max_connections, target.id, member_index
             )
+            limits = self._adapt_to_lending(target, settings, limits, vm)
             self.get(target.id).set_limits(limits)
 
+    def _adapt_to_lending(self, target, settings, limits, vm):
+        """Return a VM's limits for a target whose connections may be lent."""
+        lenders = self._borrower.find_lenders(target) if self._borrower else ()
+        if vm in lenders:
+            return connection_lending.compute_lender_limits(
+                settings.max_connections, len(lenders)
+            )
+        if lenders:
+            return connection_lending.compute_borrower_limits(limits)
+        return limits
+
     def close_unused(self, view, now):
         """Close idle connections that are old or lead to removed targets."""
         for target_id, pool in list(self._pools.items()):
