Mend what a review of lent connections found

A review by someone who did not write it, with scratch tests, found: a ROLLBACK that reached the lender late ended the caller's session and leaked the loan; a pool whose target left was removed with its borrowed connections; a lender that stopped did not wait for requests in progress; the delay for a lender that fails overflowed after 1,024 failures, and each waiting statement asked it again; a lender without a free connection meant a refusal; unused connections were closed when a request was cancelled; the last bytes before the end of a channel could be lost; frames were bounded at 4 MiB only; a listener that could not bind ended the daemon.

Each is changed; tests for a late ROLLBACK, a target that leaves, a stop during a request, a lender that does not answer, many failures, requests that fail together, and a clock that stood still. Left: no hysteresis where the fleet's size is at the threshold, and VMs of another region than the target keep no connection.

--- a/src/geraniumridge/_internal/decisions/connection_lending.py
+++ b/src/geraniumridge/_internal/decisions/connection_lending.py
@@ -7,15 +7,14 @@
 instead, and each team has one lender for each target.
 """
 
-import math
 import typing
 
 from geraniumridge._internal.decisions import connection_share
 from geraniumridge._internal.utils import rendezvous
 
 LENDERS_PER_TARGET = 4
-"""VMs that lend connections to one target. Fewer share them better between
-teams, more lose fewer of them when a VM fails."""
+"""VMs that lend connections to one target. With fewer, more teams share the
+same connections; with more, the failure of one VM closes fewer of them."""
 
 LENT_SHARE = 0.75
 """Share of a target's limit that its lenders use. The rest is for VMs that
@@ -33,6 +32,13 @@
 MAX_RETRY_DELAY_S = 4.0
 """Longest such delay."""
 
+PROBE_HOLD_OFF_S = 0.5
+"""How long one request to a lender that failed keeps others from asking."""
+
+MAX_CLOCK_DRIFT_S = 0.02
+"""Negative age of a statement up to which the clocks of two VMs may have
+drifted during a loan. Below, the lender's clock has stood still."""
+
 
 def are_lent(max_connections, member_count):
     """Return whether the connections to a target are lent.
@@ -118,11 +124,13 @@
         now : float
             Clock time, in seconds.
         """
-        return now - self._granted_at - elapsed_s > MAX_FORWARD_AGE_S
+        age_s = now - self._granted_at - elapsed_s
+        return not -MAX_CLOCK_DRIFT_S <= age_s <= MAX_FORWARD_AGE_S
 
 
 class _Failures(typing.NamedTuple):
-    count: int
+    noted_at: float
+    delay_s: float
     retry_at: float
 
 
@@ -132,20 +140,31 @@
     def __init__(self):
         self._failures = {}
 
-    def is_available(self, vm, now):
-        """Return whether a lender may be asked."""
+    def may_ask(self, vm, now):
+        """Return whether a lender may be asked now.
+
+        One request at a time probes a lender that failed.
+        """
         failures = self._failures.get(vm)
-        return failures is None or now >= failures.retry_at
+        if failures is None:
+            return True
+        if now < failures.retry_at:
+            return False
+        self._failures[vm] = failures._replace(retry_at=now + PROBE_HOLD_OFF_S)
+        return True
 
     def note_failure(self, vm, now):
-        """Record that a lender could not be reached or did not answer."""
-        count = 1
-        if vm in self._failures:
-            count += self._failures[vm].count
-        delay_s = min(
-            MAX_RETRY_DELAY_S, FIRST_RETRY_DELAY_S * math.ldexp(1, count - 1)
-        )
-        self._failures[vm] = _Failures(count, now + delay_s)
+        """Record that a lender could not be reached or did not answer.
+
+        Requests that were sent together count once.
+        """
+        former = self._failures.get(vm)
+        delay_s = FIRST_RETRY_DELAY_S
+        if former is not None:
+            if now - former.noted_at < former.delay_s / 2:
+                return
+            delay_s = min(MAX_RETRY_DELAY_S, 2 * former.delay_s)
+        self._failures[vm] = _Failures(now, delay_s, now + delay_s)
 
     def note_answer(self, vm):
         """Record an answer of a lender."""
--- a/src/geraniumridge/_internal/network/loan_channel.py
+++ b/src/geraniumridge/_internal/network/loan_channel.py
@@ -21,13 +21,20 @@
 RECEIVE_BYTES = 65_536
 """Most bytes that one receive call returns."""
 
-MAX_FRAME_BYTES = 4_194_304
-"""Longest payload; a statement has at most 1 MiB, session values as much."""
+MAX_DATA_BYTES = 262_144
+"""Most bytes to a target in one frame."""
 
-SEND_TIMEOUT_S = 5.0
-"""Timeout of one write to a VM that does not read."""
+MAX_FRAME_BYTES = MAX_DATA_BYTES + 1_024
+"""Longest payload of a frame."""
 
-UNACKNOWLEDGED_TIMEOUT_MS = 3_000
+SEND_TIMEOUT_S = 20.0
+"""Timeout of one write. A borrower reads no faster than its caller does."""
+
+FINISH_TIMEOUT_S = 0.3
+"""How long the other side may take to read the last bytes of a channel
+before it is reset."""
+
+UNACKNOWLEDGED_TIMEOUT_MS = 5_000
 """``TCP_USER_TIMEOUT``: the channel breaks when sent bytes stay
 unacknowledged for this long."""
 
@@ -67,18 +74,19 @@
     """Bytes to a target, with what the lender checks before it sends them.
 
     `elapsed_s` are the seconds from the arrival of the grant until they were
-    sent, and `is_primary` is whether the target has to be the primary.
+    sent, and `requires_primary` is whether the target has to be the primary.
     """
 
     data: bytes
     elapsed_s: float
-    is_primary: bool
+    requires_primary: bool
 
 
 def encode_statements(statements):
     """Return the payload of a frame to the lender."""
     header = _STATEMENT_HEADER.pack(
-        max(0, int(statements.elapsed_s * 1000)), statements.is_primary
+        max(0, int(statements.elapsed_s * 1000)),
+        statements.requires_primary,
     )
     return header + statements.data
 
@@ -93,9 +101,9 @@
     """
     if len(payload) < _STATEMENT_HEADER.size:
         raise exceptions.ProtocolError("loan: frame too short")
-    elapsed_ms, is_primary = _STATEMENT_HEADER.unpack_from(payload)
+    elapsed_ms, requires_primary = _STATEMENT_HEADER.unpack_from(payload)
     data = bytes(payload[_STATEMENT_HEADER.size :])
-    return Statements(data, elapsed_ms / 1000, bool(is_primary))
+    return Statements(data, elapsed_ms / 1000, bool(requires_primary))
 
 
 class LoanChannel:
@@ -111,6 +119,7 @@
         self._socket = tcp_socket
         self._buffer = bytearray()
         self._is_open = True
+        self._send_lock = trio.Lock()
         _set_options(tcp_socket)
 
     @property
@@ -123,15 +132,16 @@
         """Whether the channel is open, without unread input."""
         if not self._is_open or self._buffer:
             return False
-        raw_socket = socket.socket(fileno=self._socket.fileno())
         try:
-            raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            raw_socket = socket.socket(fileno=self._socket.fileno())
+            try:
+                raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            finally:
+                raw_socket.detach()
         except BlockingIOError:
             return True
         except OSError:
             return False
-        finally:
-            raw_socket.detach()
         return False
 
     async def send_message(self, message):
@@ -157,8 +167,9 @@
         data = _HEADER.pack(len(payload), kind) + payload
         try:
             with trio.fail_after(SEND_TIMEOUT_S):
-                while data:
-                    data = data[await self._socket.send(data) :]
+                async with self._send_lock:
+                    while data:
+                        data = data[await self._socket.send(data) :]
         except (OSError, trio.ClosedResourceError, trio.TooSlowError) as error:
             self.abort()
             raise exceptions.ConnectionLostError(f"loan channel: {error!r}")
@@ -168,16 +179,22 @@
             raise
 
     def post_message(self, message):
-        """Send a short message without waiting; close the channel if not."""
+        """Send a short message without waiting.
+
+        The channel is closed if its socket does not take all of it.
+        """
         kind, payload = _encode_message(message)
         data = _HEADER.pack(len(payload), kind) + payload
-        raw_socket = socket.socket(fileno=self._socket.fileno())
+        sent = 0
         try:
-            sent = raw_socket.send(data, socket.MSG_DONTWAIT)
+            raw_socket = socket.socket(fileno=self._socket.fileno())
+            try:
+                sent = raw_socket.send(data, socket.MSG_DONTWAIT)
+            finally:
+                raw_socket.detach()
         except OSError:
-            sent = 0
-        finally:
-            raw_socket.detach()
+            # The channel is aborted below.
+            pass
         if sent < len(data):
             self.abort()
 
@@ -221,6 +238,22 @@
             raise exceptions.ConnectionLostError("loan channel: wrong frame")
         return decode_message(kind, payload)
 
+    def send_eof(self):
+        """End this side's direction; the bytes sent so far are delivered."""
+        try:
+            self._socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The other side has closed the connection.
+            pass
+
+    async def finish(self):
+        """Let the other side read the last bytes, then close the channel."""
+        self.send_eof()
+        with trio.move_on_after(FINISH_TIMEOUT_S):
+            while await self.receive() is not None:
+                pass
+        self.abort()
+
     def abort(self):
         """Reset the connection; undelivered bytes are dropped."""
         if not self._is_open:
@@ -287,16 +320,16 @@
     tcp_socket = trio.socket.socket(
         trio.socket.AF_INET, trio.socket.SOCK_STREAM
     )
-    is_connected = False
+    channel = None
     try:
         await tcp_socket.connect((host, port))
-        is_connected = True
+        channel = LoanChannel(tcp_socket)
     except OSError as error:
         raise exceptions.NotSentError(f"{address}: {error}")
     finally:
-        if not is_connected:
+        if channel is None:
             tcp_socket.close()
-    return LoanChannel(tcp_socket)
+    return channel
 
 
 def _set_options(tcp_socket):
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -160,8 +160,7 @@
   2: required string target
 }
 
-/** A value or a prepared statement of a session, as it stands on a
-    connection. */
+/** A value or a prepared statement that is set on a connection. */
 struct SessionEntry {
   1: required string name
   2: required string value
@@ -176,17 +175,15 @@
   4: required i32 timeout_ms
 }
 
-/** Answers a loan request. Without a grant, `outcome` is that of the target's
-    refusal, empty if it gave none, and `is_lender` is false if the VM does
-    not lend connections to the target. `values` and `prepared` are the session
-    state on the connection. */
+/** Answers a loan request. Without a grant, `is_target_full` is whether the
+    target refused a connection at its limit. `values` and `prepared` are the
+    session state that is set on the connection. */
 struct LoanGrant {
   1: required bool is_granted
-  2: required bool is_lender
-  3: required string outcome
-  4: required string detail
-  5: required list<SessionEntry> values
-  6: required list<SessionEntry> prepared
+  2: required bool is_target_full
+  3: required string detail
+  4: required list<SessionEntry> values
+  5: required list<SessionEntry> prepared
 }
 
 /** Returns a connection with the session state on it. */
@@ -196,7 +193,9 @@
 }
 
 /** Tells a borrower that the statements it sent last were not passed on, and
-    that its connection has been closed. */
+    that its connection has been closed. `is_late` is whether they arrived
+    too late. */
 struct LoanExpired {
   1: required string reason
+  2: required bool is_late
 }
--- a/src/geraniumridge/_internal/ports/targets.py
+++ b/src/geraniumridge/_internal/ports/targets.py
@@ -15,14 +15,14 @@
     position that the target's log must have reached. `send_rows` is an
     async function that takes the rows of a large answer, in parts; the
     answer then has the remaining ones. Without it the answer has all.
-    `is_primary` is whether the target has to be the group's primary.
+    `requires_primary` is whether the target has to be the group's primary.
     """
 
     id: str
     text: bytes
     min_position: records.LogPosition | None = None
     send_rows: typing.Callable | None = None
-    is_primary: bool = False
+    requires_primary: bool = False
 
 
 class Transport(typing.Protocol):
@@ -36,11 +36,12 @@
     def is_idle(self):
         """Whether the connection is open, without unread input."""
 
-    async def send(self, data, is_primary=False):
+    async def send(self, data, requires_primary=False):
         """Send all of some bytes.
 
         Raises `exceptions.NotSentError` if the target certainly does not
-        get them. `is_primary` is whether it has to be the primary for them.
+        get them. `requires_primary` is whether it has to be the primary for
+        them.
         """
 
     async def receive(self):
@@ -88,7 +89,7 @@
         """
 
     def attach(self, transport, name):
-        """Return a `Link` on a session that stands already.
+        """Return a `Link` on a session that has been started.
 
         `name` is that of the target, for error messages.
         """
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -126,6 +126,7 @@
         """
         pool = self._node.pools.get(connection.target.id)
         is_done = False
+        is_target_silent = True
         try:
             with trio.move_on_at(deadline):
                 await session_state.restore(
@@ -137,9 +138,13 @@
                 is_done = True
         except exceptions.ConnectionLostError as error:
             raise exceptions.NotSentError(str(error))
+        except exceptions.NotSentError:
+            is_target_silent = False
+            raise
         finally:
             if not is_done:
-                pool.load.note_failure(clock.now())
+                if is_target_silent:
+                    pool.load.note_failure(clock.now())
                 pool.discard(connection)
         if not is_done:
             raise exceptions.NotSentError(f"{connection.target.id}: silent")
@@ -187,7 +192,10 @@
                 (answer,) = await connection.link.call(
                     [targets.Call("", text)]
                 )
-            except exceptions.ConnectionLostError:
+            except (
+                exceptions.ConnectionLostError,
+                exceptions.NotSentError,
+            ):
                 pool.discard(connection)
                 return
             self._return_connection(pool, connection, answer)
@@ -210,7 +218,7 @@
             "",
             text,
             destination.min_position,
-            is_primary=destination.is_primary,
+            requires_primary=destination.is_primary,
         )
         sent_at = clock.now()
         try:
--- a/src/geraniumridge/_internal/proxy/lending/borrower.py
+++ b/src/geraniumridge/_internal/proxy/lending/borrower.py
@@ -17,11 +17,11 @@
 LENDER_CONNECT_TIMEOUT_S = 0.1
 """Timeout of opening a channel to a lender, which is in the same region."""
 
-LOAN_TIMEOUT_S = 0.3
-"""How long a lender may take to open a connection."""
+LOAN_TIMEOUT_S = 0.2
+"""How long a lender may take to free or open a connection."""
 
 ANSWER_MARGIN_S = 0.05
-"""How long the grant may take beyond that."""
+"""How long the grant may take beyond `LOAN_TIMEOUT_S`."""
 
 IDLE_CHANNEL_S = 20.0
 """Time after which an unused channel is closed."""
@@ -37,7 +37,8 @@
     granted_at : float
         Clock time, in seconds, at which the grant arrived.
     note_expired : callable
-        Called when the lender did not pass statements on.
+        Called when the lender did not pass statements on, with whether it
+        got them too late.
     """
 
     def __init__(self, channel, granted_at, note_expired):
@@ -50,12 +51,14 @@
         """Whether the channel is open, without unread input."""
         return self._channel.is_idle
 
-    async def send(self, data, is_primary=False):
+    async def send(self, data, requires_primary=False):
         """Send statements; the lender checks their age."""
         elapsed_s = clock.now() - self._granted_at
-        await self._channel.send_statements(
-            loan_channel.Statements(data, elapsed_s, is_primary)
-        )
+        for start in range(0, len(data), loan_channel.MAX_DATA_BYTES):
+            part = data[start : start + loan_channel.MAX_DATA_BYTES]
+            await self._channel.send_statements(
+                loan_channel.Statements(part, elapsed_s, requires_primary)
+            )
 
     async def receive(self):
         """Return the next bytes, empty at the end of the loan.
@@ -74,8 +77,8 @@
         self._channel.abort()
         if kind is not loan_channel.FrameKind.EXPIRED:
             raise exceptions.ConnectionLostError("loan channel: wrong frame")
-        self._note_expired()
         expired = loan_channel.decode_message(kind, payload)
+        self._note_expired(expired.is_late)
         raise exceptions.NotSentError(f"not passed on: {expired.reason}")
 
     def abort(self):
@@ -104,7 +107,7 @@
         self._node = node
         self._directory = directory
         self._health = connection_lending.LenderHealth()
-        self._idle = {}
+        self._idle_channels = {}
         self._loans = {}
 
     def find_lenders(self, target):
@@ -129,9 +132,7 @@
         Raises
         ------
         exceptions.TargetRefusedError
-            If the target refused the lender's connection.
-        exceptions.NotSentError
-            If the lender could not connect or did not answer.
+            If the target refused the lender's connection at its limit.
         """
         member = self._find_lender(target, team)
         if member is None:
@@ -140,14 +141,17 @@
         if channel is None:
             return None
         grant = await self._request(channel, member, target, team)
+        if grant is None:
+            return None
         if grant.is_granted:
             return self._attach(channel, member, target, grant)
         self._keep(channel, member.vm)
         self._node.metrics.count("loans:refused")
-        if not grant.is_lender:
+        if not grant.is_target_full:
             return None
         raise exceptions.TargetRefusedError(
-            f"{target.id}: {grant.detail}", _decode_outcome(grant.outcome)
+            f"{target.id}: {grant.detail}",
+            statements.Outcome.TOO_MANY_CONNECTIONS,
         )
 
     def give_back(self, link, values, prepared):
@@ -170,7 +174,7 @@
         """Close channels that were not used for `IDLE_CHANNEL_S`."""
         members = self._node.view.members
         self._health.retain(members)
-        for vm, items in list(self._idle.items()):
+        for vm, items in list(self._idle_channels.items()):
             kept = [
                 item
                 for item in items
@@ -180,9 +184,9 @@
                 if item not in kept:
                     item.channel.abort()
             if kept:
-                self._idle[vm] = kept
+                self._idle_channels[vm] = kept
             else:
-                del self._idle[vm]
+                del self._idle_channels[vm]
 
     def _find_lender(self, target, team):
         """Return the `fleet.Member` to ask, None to open a connection."""
@@ -194,13 +198,14 @@
         region = self._node.get_region(target.domain)
         if region != self._node.get_region(settings.vm.domain):
             return None
-        if not self._health.is_available(vm, clock.now()):
+        member = self._node.view.members.get(vm)
+        if member is None or not self._health.may_ask(vm, clock.now()):
             return None
-        return self._node.view.members.get(vm)
+        return member
 
     async def _open_channel(self, member):
         """Return a channel to a lender, None if there is none in time."""
-        items = self._idle.get(member.vm, [])
+        items = self._idle_channels.get(member.vm, [])
         while items:
             channel = items.pop().channel
             if channel.is_idle:
@@ -216,13 +221,7 @@
         return None
 
     async def _request(self, channel, member, target, team):
-        """Return the lender's grant.
-
-        Raises
-        ------
-        exceptions.NotSentError
-            If it did not answer.
-        """
+        """Return the lender's answer, None if it gave none in time."""
         request = messages.LoanRequest(
             target=target.id,
             started_ms=target.started_ms,
@@ -230,31 +229,30 @@
             timeout_ms=int(LOAN_TIMEOUT_S * 1000),
         )
         grant = None
-        why = "no answer"
+        reason = "no answer"
         try:
             with trio.move_on_after(LOAN_TIMEOUT_S + ANSWER_MARGIN_S):
                 await channel.send_message(request)
                 grant = await channel.receive_message(messages.LoanGrant)
         except exceptions.ConnectionLostError as error:
-            why = str(error)
+            reason = str(error)
         finally:
             if grant is None:
                 channel.abort()
         if grant is None:
-            self._note_failure(member, why)
-            raise exceptions.NotSentError(
-                f"{target.id}: lender {member.vm}: {why}"
-            )
-        self._health.note_answer(member.vm)
+            self._note_failure(member, reason)
+        else:
+            self._health.note_answer(member.vm)
         return grant
 
     def _attach(self, channel, member, target, grant):
         granted_at = clock.now()
         self._node.metrics.count("loans:granted")
 
-        def note_expired():
+        def note_expired(is_late):
             self._node.metrics.count("loans:expired")
-            self._note_failure(member, "did not pass a statement on")
+            if is_late:
+                self._note_failure(member, "passed a statement on too late")
 
         transport = BorrowedTransport(channel, granted_at, note_expired)
         link = self._node.dialect.attach(transport, target.id)
@@ -266,22 +264,18 @@
         )
 
     def _keep(self, channel, vm):
-        self._idle.setdefault(vm, []).append(
+        self._idle_channels.setdefault(vm, []).append(
             _IdleChannel(channel, clock.now())
         )
 
-    def _note_failure(self, member, why):
+    def _note_failure(self, member, reason):
         self._health.note_failure(member.vm, clock.now())
         self._node.metrics.count("loans:lender_failed")
         logger.info(
             "lender failed",
-            extra={"event": "lender_failed", "lender": member.vm, "why": why},
+            extra={
+                "event": "lender_failed",
+                "lender": member.vm,
+                "why": reason,
+            },
         )
-
-
-def _decode_outcome(text):
-    """Return the `statements.Outcome` of a refusal, None without one."""
-    try:
-        return statements.Outcome(text)
-    except ValueError:
-        return None
--- a/src/geraniumridge/_internal/proxy/lending/lender.py
+++ b/src/geraniumridge/_internal/proxy/lending/lender.py
@@ -23,6 +23,13 @@
 MAX_LOAN_TIMEOUT_S = 1.0
 """Longest wait for a connection that a borrower may ask for."""
 
+MAX_CHANNELS = 1_024
+"""Channels of all borrowers; further ones are closed at once."""
+
+CHANNEL_TIMEOUT_S = 60.0
+"""Time after which a channel without a request is closed; borrowers close
+theirs sooner."""
+
 
 class _Loan:
     """One connection while it is lent."""
@@ -32,6 +39,7 @@
         self.connection = connection
         self.clock = connection_lending.ForwardClock(granted_at)
         self.is_returned = False
+        self.is_untouched = True
         self.running_usage = None
 
     def start_statement(self, usage):
@@ -62,21 +70,26 @@
         self._node = node
         self._directory = directory
         self._is_stopping = False
-        self._active = 0
-        self._idle = trio.Event()
-        self._idle.set()
+        self._channel_count = 0
+        self._loan_count = 0
+        self._no_loans = trio.Event()
+        self._no_loans.set()
 
     async def start(self, nursery):
         """Listen for loan channels at the address for peers.
 
-        Raises
-        ------
-        exceptions.NetworkError
-            If the address cannot be bound.
+        Without it the other VMs open their connections themselves, so a
+        failure does not end the daemon.
         """
-        await streams.serve(
-            nursery, self._node.settings.peer_address, self._serve
-        )
+        try:
+            await streams.serve(
+                nursery, self._node.settings.peer_address, self._serve
+            )
+        except exceptions.NetworkError as error:
+            logger.warning(
+                "cannot lend connections",
+                extra={"event": "lending_off", "why": str(error)},
+            )
 
     def stop(self):
         """Lend no further connections."""
@@ -84,49 +97,69 @@
 
     async def wait_idle(self):
         """Wait until no connection is lent."""
-        await self._idle.wait()
+        await self._no_loans.wait()
 
     async def _serve(self, stream):
-        channel = loan_channel.LoanChannel(stream.socket)
+        if self._channel_count >= MAX_CHANNELS:
+            await trio.aclose_forcefully(stream)
+            return
+        self._channel_count += 1
         try:
-            while channel.is_open:
-                request = await channel.receive_message(messages.LoanRequest)
-                if request is None:
-                    return
-                await self._serve_request(channel, request)
-        except exceptions.ConnectionLostError:
+            await self._serve_channel(loan_channel.LoanChannel(stream.socket))
+        except (exceptions.ConnectionLostError, OSError):
             # The borrower has closed the channel or lost it.
             pass
         except Exception:
             logger.exception("loan channel failed", extra={"event": "fault"})
+        finally:
+            self._channel_count -= 1
+            stream.socket.close()
+
+    async def _serve_channel(self, channel):
+        try:
+            while channel.is_open:
+                request = None
+                with trio.move_on_after(CHANNEL_TIMEOUT_S):
+                    request = await channel.receive_message(
+                        messages.LoanRequest
+                    )
+                if request is None:
+                    return
+                self._start_loan()
+                try:
+                    await self._serve_request(channel, request)
+                finally:
+                    self._end_loan()
         finally:
             channel.abort()
 
     async def _serve_request(self, channel, request):
         target = self._find_target(request)
         if target is None:
-            await channel.send_message(_make_refusal(is_lender=False))
+            await channel.send_message(_make_refusal("not a lender"))
             return
         pool = self._node.pools.get(target.id)
         try:
             connection = await self._acquire(pool, target, request)
         except exceptions.NetworkError as error:
-            outcome = getattr(error, "outcome", None)
-            await channel.send_message(
-                _make_refusal(str(error), outcome.value if outcome else "")
-            )
+            is_full = isinstance(error, exceptions.ConnectionLimitError)
+            await channel.send_message(_make_refusal(str(error), is_full))
+            return
+        if not session_entries.is_portable(
+            connection.values, connection.prepared
+        ):
+            pool.discard(connection)
+            await channel.send_message(_make_refusal("too much state"))
             return
-        self._start_loan()
         loan = _Loan(channel, connection, clock.now())
         try:
             await self._run_loan(loan)
         finally:
             loan.end_statement()
-            if loan.is_returned:
+            if loan.is_returned or loan.is_untouched:
                 pool.release(connection)
             else:
                 pool.discard(connection)
-            self._end_loan()
 
     def _find_target(self, request):
         """Return the requested target, None if this VM does not lend it."""
@@ -147,8 +180,7 @@
     async def _run_loan(self, loan):
         grant = messages.LoanGrant(
             is_granted=True,
-            is_lender=True,
-            outcome="",
+            is_target_full=False,
             detail="",
             values=session_entries.encode(loan.connection.values),
             prepared=session_entries.encode(loan.connection.prepared),
@@ -164,12 +196,16 @@
         try:
             while not loan.is_returned:
                 frame = await loan.channel.receive()
-                if frame is None or not await self._pass_frame(loan, *frame):
+                if frame is None:
                     loan.channel.abort()
                     return
+                if not await self._pass_frame(loan, *frame):
+                    await loan.channel.finish()
+                    return
         except (
             OSError,
             trio.ClosedResourceError,
+            trio.TooSlowError,
             exceptions.NetworkError,
         ):
             loan.channel.abort()
@@ -187,27 +223,33 @@
         if kind is not loan_channel.FrameKind.DATA:
             return False
         statements = loan_channel.decode_statements(payload)
-        why = self._find_objection(loan, statements)
-        if why is not None:
+        refusal = self._check_statements(loan, statements)
+        if refusal is not None:
             self._node.metrics.count("loans:not_passed_on")
-            await loan.channel.send_message(messages.LoanExpired(reason=why))
+            await loan.channel.send_message(refusal)
             return False
-        await loan.connection.link.transport.send(statements.data)
+        loan.is_untouched = False
+        with trio.fail_after(loan_channel.SEND_TIMEOUT_S):
+            await loan.connection.link.transport.send(statements.data)
         return True
 
-    def _find_objection(self, loan, statements):
-        """Return why statements must not be passed on, or None."""
+    def _check_statements(self, loan, statements):
+        """Return the message that refuses to pass statements on, or None."""
         now = clock.now()
         if loan.clock.is_too_old(statements.elapsed_s, now):
-            return "it took too long to the lender"
-        if not statements.is_primary:
+            return messages.LoanExpired(
+                reason="it took too long to the lender", is_late=True
+            )
+        if not statements.requires_primary:
             return None
         target = loan.connection.target
         usable = self._node.primary_resolver.find_usable_primary(
             target.group, now
         )
         if usable is None or usable.id != target.id:
-            return "the lender may not use the primary"
+            return messages.LoanExpired(
+                reason="the lender may not use the primary", is_late=False
+            )
         loan.start_statement(self._node.get_primary_usage(target.group))
         return None
 
@@ -226,25 +268,27 @@
             exceptions.NetworkError,
         ):
             pass
+        # The borrower reads what the target sent last, and ends the channel.
+        loan.channel.send_eof()
+        await trio.sleep(loan_channel.FINISH_TIMEOUT_S)
         loan.channel.abort()
 
     def _start_loan(self):
-        self._active += 1
-        if self._active == 1:
-            self._idle = trio.Event()
+        self._loan_count += 1
+        if self._loan_count == 1:
+            self._no_loans = trio.Event()
 
     def _end_loan(self):
-        self._active -= 1
-        if self._active == 0:
-            self._idle.set()
+        self._loan_count -= 1
+        if self._loan_count == 0:
+            self._no_loans.set()
 
 
-def _make_refusal(detail="", outcome="", is_lender=True):
+def _make_refusal(detail, is_target_full=False):
     """Return the answer to a request that is not granted."""
     return messages.LoanGrant(
         is_granted=False,
-        is_lender=is_lender,
-        outcome=outcome,
+        is_target_full=is_target_full,
         detail=detail,
         values=[],
         prepared=[],
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -78,6 +78,7 @@
         self._idle = []
         self._busy = set()
         self._borrowed = set()
+        self._borrowing = 0
         self._opening = 0
         self._capacity_freed = trio.Event()
         self._limits = connection_share.PoolLimits(1, 1)
@@ -100,6 +101,11 @@
         """Number of connections that other VMs have lent to this one."""
         return len(self._borrowed)
 
+    @property
+    def is_unused(self):
+        """Whether no connection is open, being opened or borrowed."""
+        return not (self.size or self._borrowed or self._borrowing)
+
     def has_idle_connection(self, team):
         """Return whether an idle connection of a team is available."""
         return any(connection.team == team for connection in self._idle)
@@ -241,12 +247,15 @@
 
     async def _borrow(self, target, team):
         """Return a connection of another VM, None if there is no lender."""
+        self._borrowing += 1
         try:
             loan = await self._borrower.borrow(target, team)
         except exceptions.TargetRefusedError as error:
             if error.outcome is statements.Outcome.TOO_MANY_CONNECTIONS:
                 raise exceptions.ConnectionLimitError(str(error))
             raise exceptions.NotSentError(str(error))
+        finally:
+            self._borrowing -= 1
         if loan is None:
             return None
         link, values, prepared = loan
@@ -386,7 +395,7 @@
             pool.close_idle(now)
             if target_id not in view.targets:
                 pool.close_idle()
-                if pool.size == 0:
+                if pool.is_unused:
                     del self._pools[target_id]
 
     def close_idle(self):
--- a/tests/functional/test_proxy_lending.py
+++ b/tests/functional/test_proxy_lending.py
@@ -180,6 +180,88 @@
     assert cluster.group.instances["i-0"].data["a"] == "3"
 
 
+@run_with_lenders
+async def test_rollback_that_is_late_at_the_lender_ends_the_loan(
+    cluster, lender, second, third
+):
+    """Guards against a session that fails and a connection that is kept."""
+    caller = await cluster.connect(second)
+    assert is_success(await caller.query("BEGIN"))
+    assert is_success(await caller.query("WRITE a 1"))
+    pool = second.node.pools.get("i-0")
+    (connection,) = pool._borrowed
+    await trio.sleep(2.5 * FORWARD_AGE_S)
+    connection.link.transport._granted_at += 2 * FORWARD_AGE_S
+    assert is_success(await caller.query("ROLLBACK"))
+    assert pool.borrowed_count == 0
+    assert is_success(await caller.query("WRITE a 2"))
+
+
+@run_with_lenders
+async def test_target_that_leaves_during_a_loan_keeps_its_pool(
+    cluster, lender, second, third
+):
+    """Guards against a borrowed connection in a pool that has been removed."""
+    caller = await cluster.connect(second)
+    assert is_success(await caller.query("BEGIN"))
+    assert is_success(await caller.query("WRITE a 1"))
+    pool = second.node.pools.get("i-0")
+    view = second.node.view
+    targets = dict(view.targets)
+    del targets["i-0"]
+
+    class ViewWithoutTarget:
+        """View that the target has left."""
+
+        def __init__(self):
+            self.targets = targets
+
+    second.node.pools.close_unused(ViewWithoutTarget(), 0.0)
+    assert second.node.pools.get("i-0") is pool
+    assert is_success(await caller.query("COMMIT"))
+    assert pool.borrowed_count == 0
+
+
+@run_with_lenders
+async def test_request_that_waits_as_a_lender_stops_is_waited_for(
+    cluster, lender, second, third
+):
+    """Guards against a loan that begins after the end of the stop."""
+    opened = trio.Event()
+    original = lender.dialect.open
+
+    async def open_slowly(target, team, timeout_s):
+        opened.set()
+        await trio.sleep(0.2)
+        return await original(target, team, timeout_s)
+
+    lender.dialect.open = open_slowly
+    caller = await cluster.connect(second)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.query, "WRITE a 1")
+        await opened.wait()
+        lender.proxy._lender.stop()
+        await lender.proxy._lender.wait_idle()
+        assert cluster.group.instances["i-0"].data["a"] == "1"
+
+
+@run_with_lenders
+async def test_lender_that_does_not_answer_does_not_refuse_a_statement(
+    cluster, lender, second, third
+):
+    """Guards against refusals because of one VM that is suspended."""
+
+    async def ignore(channel, request):
+        await trio.sleep_forever()
+
+    lender.proxy._lender._serve_request = ignore
+    # The route's time limit is 1 s.
+    borrower.LOAN_TIMEOUT_S = 0.2
+    caller = await cluster.connect(second)
+    lines = await caller.query("WRITE a 1")
+    assert is_success(lines), lines
+
+
 @run_with_lenders
 async def test_planned_stop_of_a_lender_ends_no_statement(
     cluster, lender, second, third
--- a/tests/unit/decisions/test_connection_lending.py
+++ b/tests/unit/decisions/test_connection_lending.py
@@ -72,6 +72,12 @@
     assert clock.is_too_old(elapsed_s=5.0, now=106.0)
 
 
+def test_lender_whose_clock_stood_still_passes_nothing_on():
+    """Guards against a suspension that the lender's clock does not count."""
+    clock = connection_lending.ForwardClock(granted_at=100.0)
+    assert clock.is_too_old(elapsed_s=5.0, now=102.0)
+
+
 def test_silent_lender_is_asked_less_and_less_often():
     health = connection_lending.LenderHealth()
     pauses = []
@@ -79,10 +85,33 @@
     for _ in range(6):
         health.note_failure("vm-1", now)
         since = now
-        while not health.is_available("vm-1", now):
+        while not health.may_ask("vm-1", now):
             now += 0.125
         pauses.append(now - since)
     assert pauses == [0.5, 1.0, 2.0, 4.0, 4.0, 4.0]
     health.note_answer("vm-1")
     health.note_failure("vm-1", now)
-    assert health.is_available("vm-1", now + 0.5)
+    assert health.may_ask("vm-1", now + 0.5)
+
+
+def test_one_request_at_a_time_probes_a_lender_that_failed():
+    """Guards against all waiting statements losing the same time-out."""
+    health = connection_lending.LenderHealth()
+    health.note_failure("vm-1", 0.0)
+    assert health.may_ask("vm-1", 0.5)
+    assert not health.may_ask("vm-1", 0.5)
+
+
+def test_requests_that_fail_together_count_once():
+    health = connection_lending.LenderHealth()
+    for _ in range(5_000):
+        health.note_failure("vm-1", 0.0)
+    assert health.may_ask("vm-1", 0.5)
+
+
+def test_lender_that_never_answers_is_asked_for_ever():
+    """Guards against an error after many failures in a row."""
+    health = connection_lending.LenderHealth()
+    for number in range(5_000):
+        health.note_failure("vm-1", number * 10.0)
+    assert health.may_ask("vm-1", 50_000.0)
