Learn round trips to other VMs, and give queries to other regions time

Cause: every time limit of an exchange between VMs assumes one site. A query to a VM 20 ms away (one way) counts as unanswered after 20 or 50 ms.

Ruled out: longer constants (a silent VM in the own region would hold up callers everywhere); probes of their own (more datagrams than the exchanges that happen anyway).

Change: `node.distances` keeps a smoothed round trip and its deviation for each VM (RFC 6298) and their median for each domain. `Peers.query` feeds it, also with answers that arrive after the time limit, and takes its time limit from it where the settings place the VM in another region. Within the own region a time limit stays exactly as given. A time-out is no sample; repeated ones double the limit, at most fourfold and up to the caller's ceiling. A late answer is passed to `on_late` once. Connection pools learn the time of opening a connection to another region.

--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/distance/__init__.py
@@ -0,0 +1,1 @@
+"""Round trips between VMs and to targets, and what follows from them."""
--- a/src/geraniumridge/_internal/decisions/token_bucket.py
+++ b/src/geraniumridge/_internal/decisions/token_bucket.py
@@ -1,6 +1,7 @@
 """Token buckets, granted tokens and averages of rates."""
 
 import math
+import operator
 import typing
 
 GRANT_LIFETIME_S = 0.4
@@ -59,9 +60,13 @@
         self._batches = []
 
     def add(self, tokens, expires_at):
-        """Add tokens that may be used until a clock time, in seconds."""
+        """Add tokens that may be used until a clock time, in seconds.
+
+        Those that expire first are used first, also if they arrive late.
+        """
         if tokens > 0:
             self._batches.append([tokens, expires_at])
+            self._batches.sort(key=operator.itemgetter(1))
 
     def take(self, now):
         """Take one token and return whether there was one."""
@@ -73,6 +78,12 @@
             del self._batches[0]
         return False
 
+    def count(self, now):
+        """Return the number of tokens that have not expired."""
+        return sum(
+            tokens for tokens, expires_at in self._batches if expires_at > now
+        )
+
 
 class RateMeter:
     """Moving average of operations per second.
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -1,5 +1,6 @@
 """Thrift messages between proxies, one to a datagram."""
 
+import collections
 import itertools
 import logging
 
@@ -11,6 +12,7 @@
 from geraniumridge._internal.network import peer_messages
 from geraniumridge._internal.network import streams
 from geraniumridge._internal.network import thrift_check
+from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
 
@@ -33,6 +35,16 @@
 `ConfirmationAnswer` is passed to a handler, as its request goes to many
 VMs."""
 
+UNMEASURED_QUERIES = (messages.LeaseRenewalRequest,)
+"""Queries whose answers are no samples of the round trip: the other VM calls
+the store before it answers."""
+
+LATE_ANSWER_S = 1.0
+"""How long an answer is recognized after its query has ended."""
+
+MAX_LATE_QUERIES = 1_024
+"""Ended queries whose late answers are recognized."""
+
 _ANSWER_TYPES = tuple(set(ANSWER_TYPES_BY_QUERY.values()))
 
 FACTORY = cybin.TCyBinaryProtocolFactory()
@@ -91,10 +103,14 @@
 
 
 class _PendingQuery:
-    """Query that waits for its answer."""
+    """Query that waits for its answer, or has ended without one."""
 
-    def __init__(self, query):
+    def __init__(self, query, vm, on_late):
         self.answer_type = ANSWER_TYPES_BY_QUERY[type(query)]
+        self.is_measured = not isinstance(query, UNMEASURED_QUERIES)
+        self.vm = vm
+        self.on_late = on_late
+        self.sent_at = clock.now()
         self.answered = trio.Event()
         self.answer = None
 
@@ -106,14 +122,19 @@
     ----------
     address : str
         ``IP:port`` to listen on.
+    distances : decisions.distance.estimates.Distances, optional
+        Learns the round trips of queries, and extends their time limits for
+        VMs of other regions.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, distances=None):
         self._address = streams.split_address(address)
+        self._distances = distances
         self._socket = None
         self._handlers = {}
         self._numbers = itertools.count(1)
         self._pending_queries = {}
+        self._late_queries = collections.OrderedDict()
 
     def handle(self, message_type, handler):
         """Register an async function of a message and its sender."""
@@ -153,7 +174,9 @@
                 continue
             await self.send(message, address)
 
-    async def query(self, query, member, timeout_s):
+    async def query(
+        self, query, member, timeout_s, max_timeout_s=None, on_late=None
+    ):
         """Send a query to a `fleet.Member` and wait for its answer.
 
         Parameters
@@ -163,7 +186,12 @@
         member : fleet.Member
             The VM to query.
         timeout_s : float
-            How long to wait, in seconds.
+            How long to wait, in seconds, within one region. It is longer for
+            a VM of another region.
+        max_timeout_s : float, optional
+            How long the caller can wait at most in that case.
+        on_late : callable, optional
+            Called with an answer that arrives after the wait.
 
         Returns
         -------
@@ -171,14 +199,23 @@
             None without an answer in time.
         """
         query.number = next(self._numbers)
-        pending = self._pending_queries[query.number] = _PendingQuery(query)
+        pending = _PendingQuery(query, member.vm, on_late)
+        self._pending_queries[query.number] = pending
+        if self._distances is not None:
+            timeout_s = self._distances.get_timeout_s(
+                member.vm, timeout_s, max_timeout_s
+            )
         try:
             await self.send_to_members(query, [member])
             with trio.move_on_after(timeout_s):
                 await pending.answered.wait()
+            if pending.answer is None and self._distances is not None:
+                self._distances.note_timeout(member.vm)
             return pending.answer
         finally:
             del self._pending_queries[query.number]
+            if pending.answer is None:
+                self._keep_late(query.number, pending)
 
     async def dispatch(self, message, sender):
         """Pass an answer to its query, another message to its handler.
@@ -189,10 +226,40 @@
             await self._handlers[type(message)](message, sender)
             return
         pending = self._pending_queries.get(message.number)
-        if pending is not None and isinstance(message, pending.answer_type):
+        if pending is None:
+            self._take_late(message)
+        elif isinstance(message, pending.answer_type):
+            if pending.answer is None:
+                self._note_round_trip(pending)
             pending.answer = message
             pending.answered.set()
 
+    def _note_round_trip(self, pending):
+        if self._distances is None or not pending.is_measured:
+            return
+        now = clock.now()
+        self._distances.note_round_trip(pending.vm, now - pending.sent_at, now)
+
+    def _keep_late(self, number, pending):
+        """Keep an ended query for a while, as its answer may be useful."""
+        self._late_queries[number] = pending
+        oldest = next(iter(self._late_queries.values()))
+        is_old = clock.now() - oldest.sent_at > LATE_ANSWER_S
+        if is_old or len(self._late_queries) > MAX_LATE_QUERIES:
+            self._late_queries.popitem(last=False)
+
+    def _take_late(self, message):
+        """Use the answer to a query that has ended, once."""
+        pending = self._late_queries.get(message.number)
+        if pending is None or not isinstance(message, pending.answer_type):
+            return
+        del self._late_queries[message.number]
+        if clock.now() - pending.sent_at > LATE_ANSWER_S:
+            return
+        self._note_round_trip(pending)
+        if pending.on_late is not None:
+            pending.on_late(message)
+
     async def _receive(self):
         with self._socket:
             while True:
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -71,7 +71,9 @@
         self._is_stopping = False
         self._stop_scopes = set()
         self._sessions = set()
-        self._peers = datagrams.Peers(node.settings.peer_address)
+        self._peers = datagrams.Peers(
+            node.settings.peer_address, node.distances
+        )
         self._view_exchange = view_exchange.ViewExchange(node, self._peers)
         self._follower = follower.StoreFollower(
             node, store, self._view_exchange, self._apply_view_change
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions.distance import estimates
 from geraniumridge._internal.decisions import position_history
 from geraniumridge._internal.decisions import primary_resolver
 from geraniumridge._internal.decisions import quorum
@@ -65,7 +66,10 @@
             self.confirmations,
             settings.bounds.departure_ms / 1000 * DEREGISTERED_USE_SHARE,
         )
-        self.pools = pool.ConnectionPools(dialect)
+        self.distances = estimates.Distances(
+            settings.vm.domain, settings.regions, self._find_domain
+        )
+        self.pools = pool.ConnectionPools(dialect, self.distances)
         self.metrics = metrics.MetricsRegistry()
         self.limits = None
         self.position_exchange = None
@@ -109,6 +113,15 @@
             self._primary_usages[group] = found
         return found
 
+    def get_longest_round_trip_s(self):
+        """Return the longest round trip to VMs of other regions, else 0."""
+        domains = {item.domain for item in self.view.members.values()}
+        return self.distances.get_longest_s(domains)
+
+    def _find_domain(self, vm):
+        member = self.view.members.get(vm)
+        return None if member is None else member.domain
+
     def get_region(self, domain):
         """Return a failure domain's region, "" if it has none."""
         return self.settings.regions.get(domain, "")
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -18,9 +18,9 @@
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 0.3
-"""Timeout of opening a connection. A lost TCP SYN is sent again only
-after a second, so a new attempt is faster, and a read may then still be in
-time at another target."""
+"""Timeout of opening a connection within one region. A lost TCP SYN is sent
+again only after a second, so a new attempt is faster, and a read may then
+still be in time at another target."""
 
 IDLE_TIMEOUT_S = 20.0
 """Time after which an idle connection is closed."""
@@ -66,10 +66,14 @@
     ----------
     dialect : ports.targets.Dialect
         Protocol of the target.
+    distances : decisions.distance.estimates.Distances, optional
+        Learns how long connections to other regions take to open, and
+        extends their time limit.
     """
 
-    def __init__(self, dialect):
+    def __init__(self, dialect, distances=None):
         self._dialect = dialect
+        self._distances = distances
         self._idle = []
         self._busy = set()
         self._opening = 0
@@ -221,7 +225,12 @@
         self.load.note_attempt(started_at)
         call = self.load.begin(started_at)
         try:
-            link = await self._dialect.open(target, team, CONNECT_TIMEOUT_S)
+            timeout_s = CONNECT_TIMEOUT_S
+            if self._distances is not None:
+                timeout_s = self._distances.get_connect_timeout_s(
+                    target.domain, CONNECT_TIMEOUT_S
+                )
+            link = await self._dialect.open(target, team, timeout_s)
         except exceptions.TargetRefusedError as error:
             self.load.note_answer(clock.now())
             if error.outcome is statements.Outcome.TOO_MANY_CONNECTIONS:
@@ -244,6 +253,9 @@
             self.load.end(call, clock.now(), is_answered=False)
             self._opening -= 1
             self._notify_waiters()
+        if self._distances is not None:
+            now = clock.now()
+            self._distances.note_connect(target.domain, now - started_at, now)
         connection = PooledConnection(link, target, team)
         self._busy.add(connection)
         return connection
@@ -271,10 +283,13 @@
     ----------
     dialect : ports.targets.Dialect
         Protocol of the targets.
+    distances : decisions.distance.estimates.Distances, optional
+        Round trips to the targets' failure domains.
     """
 
-    def __init__(self, dialect):
+    def __init__(self, dialect, distances=None):
         self._dialect = dialect
+        self._distances = distances
         self._pools = {}
 
     @property
@@ -291,7 +306,7 @@
         """Return the pool of a target; create it on first use."""
         pool = self._pools.get(target_id)
         if pool is None:
-            pool = ConnectionPool(self._dialect)
+            pool = ConnectionPool(self._dialect, self._distances)
             self._pools[target_id] = pool
         return pool
 
--- a/tests/unit/network/test_datagrams.py
+++ b/tests/unit/network/test_datagrams.py
@@ -8,10 +8,12 @@
 import pytest
 import trio
 
+from geraniumridge._internal.decisions.distance import estimates
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.network import datagrams
 from lib import fleets
 
+messages = datagrams.messages
 ChangesQuery = datagrams.messages.ChangesQuery
 ConfirmationRequest = datagrams.messages.ConfirmationRequest
 TokenRequest = datagrams.messages.TokenRequest
@@ -247,3 +249,149 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+class DelayedPeers(datagrams.Peers):
+    """Datagram endpoint whose queries are answered after a delay.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Delivers the answers.
+    delay_s : float
+        The delay, in seconds.
+    """
+
+    def __init__(self, nursery, delay_s):
+        self.distances = estimates.Distances(
+            "north", {"north": "east", "south": "west"}, {}.get
+        )
+        super().__init__("127.0.0.1:1", self.distances)
+        self._nursery = nursery
+        self.delay_s = delay_s
+
+    def place(self, domain):
+        """Set the failure domain of all other VMs."""
+        self.distances._find_domain = lambda vm: domain
+
+    async def send(self, message, address):
+        """Dispatch the answer later."""
+        self._nursery.start_soon(self._answer, message)
+
+    async def _answer(self, message):
+        await trio.sleep(self.delay_s)
+        answer = (
+            messages.LeaseRenewalAnswer(
+                number=message.number, is_renewed=True, is_lost=False
+            )
+            if isinstance(message, messages.LeaseRenewalRequest)
+            else make_grant(message)
+        )
+        # A datagram may arrive twice.
+        await self.dispatch(answer, None)
+        await self.dispatch(answer, None)
+
+
+def run_delayed(domain, delay_s, test):
+    """Run a test with an endpoint whose answers are delayed."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            peers = DelayedPeers(nursery, delay_s)
+            peers.place(domain)
+            member = fleets.make_member("vm-2")
+            await test(peers, member)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def make_token_request():
+    """Return a query without a number."""
+    return TokenRequest(team="team", wanted=1, domain="north")
+
+
+def test_query_to_another_region_waits_for_its_answer():
+    """The given time limit holds within one region only."""
+
+    async def test(peers, member):
+        assert await peers.query(make_token_request(), member, 0.01)
+        assert 0.04 <= peers.distances.get_vm_round_trip_s("vm-2") < 0.09
+
+    run_delayed("south", 0.04, test)
+
+
+def test_query_waits_no_longer_than_its_caller_can():
+    async def test(peers, member):
+        began_at = trio.current_time()
+        request = make_token_request()
+        assert await peers.query(request, member, 0.01, 0.03) is None
+        assert trio.current_time() - began_at < 0.3
+
+    run_delayed("south", 0.5, test)
+
+
+def test_late_answer_is_measured_and_used_once():
+    """Granted tokens must be neither lost nor counted twice."""
+
+    async def test(peers, member):
+        late = []
+        answer = await peers.query(
+            make_token_request(), member, 0.01, on_late=late.append
+        )
+        assert answer is None and not late
+        assert not peers.distances.list_measured()
+        await trio.sleep(0.1)
+        assert [grant.tokens for grant in late] == [1]
+        assert peers.distances.list_measured()["north"] >= 0.04
+
+    run_delayed("north", 0.04, test)
+
+
+def test_answer_in_time_is_not_late_when_it_arrives_again():
+    async def test(peers, member):
+        late = []
+        assert await peers.query(
+            make_token_request(), member, 0.2, on_late=late.append
+        )
+        await trio.sleep(0.05)
+        assert not late
+
+    run_delayed("north", 0.01, test)
+
+
+def test_very_late_answer_is_dropped(monkeypatch):
+    monkeypatch.setattr(datagrams, "LATE_ANSWER_S", 0.02)
+
+    async def test(peers, member):
+        late = []
+        await peers.query(
+            make_token_request(), member, 0.01, on_late=late.append
+        )
+        await trio.sleep(0.08)
+        assert not late and not peers.distances.list_measured()
+
+    run_delayed("north", 0.04, test)
+
+
+def test_number_of_ended_queries_that_are_kept_is_bounded(monkeypatch):
+    monkeypatch.setattr(datagrams, "MAX_LATE_QUERIES", 5)
+
+    async def test(peers, member):
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(
+                    peers.query, make_token_request(), member, 0.01
+                )
+        assert len(peers._late_queries) == 5
+
+    run_delayed("north", 1.0, test)
+
+
+def test_answer_that_waited_for_the_store_is_no_sample():
+    async def test(peers, member):
+        request = messages.LeaseRenewalRequest(vm="vm-1", lease=7)
+        assert await peers.query(request, member, 0.5)
+        assert not peers.distances.list_measured()
+
+    run_delayed("north", 0.04, test)
