Get tokens from a limiter in another region in time and ahead of need

Cause: a request to a limiter in another region counted as unanswered after 20 ms, so the operations of its teams got the few tokens of the standby's reserve.

Ruled out: waiting longer under the lock of the team (each operation of a crowd would take a round trip after the other, and a cut region would hold up all of them); a token held ahead by every VM (at one operation a second most would expire, see the table in docs/design/distance.md).

Change: requests to a limiter in another region run in tasks of their own. Operations wait for the answer as long as it usually takes, then ask the standby, and still use a later answer while they can wait, a quarter of the route's time limit. A VM whose demand uses them requests tokens ahead, as long as the limiter grants in full. A silent limiter is asked every 0.5 s while operations go to the standby at once. Tokens that arrive after their request timed out are kept, in all deployments; they expire 0.4 s after the request as before, so test_rates.py holds unchanged.

Tests: FakePeers and LimitsFixture in test_limits.py take the new arguments of `query` and a `distances`; no existing check changed.

--- a/src/geraniumridge/_internal/proxy/admission.py
+++ b/src/geraniumridge/_internal/proxy/admission.py
@@ -17,6 +17,10 @@
 """Fraction of the route's latency objective for which an operation waits for
 a token of its team's limit, before it is refused."""
 
+TOKEN_ANSWER_SHARE = 0.25
+"""Fraction of the route's time limit for which an operation waits for the
+answer of a limiter in another region. The rest is for the statement."""
+
 NO_TEAM = "-"
 """Team name of statements without a known key, on public routes."""
 
@@ -97,8 +101,12 @@
         ):
             return admission_result
         team = self._node.view.state.teams.get(admission_result.team)
-        wait_s = TOKEN_WAIT_SHARE * admission_result.route.latency_objective_s
-        if team is None or await self._node.limits.take(team, wait_s):
+        route = admission_result.route
+        wait_s = TOKEN_WAIT_SHARE * route.latency_objective_s
+        answer_wait_s = TOKEN_ANSWER_SHARE * route.timeout_s
+        if team is None or await self._node.limits.take(
+            team, wait_s, answer_wait_s
+        ):
             return admission_result
         return AdmissionResult(outcome=Outcome.OVERLOADED, detail="rate limit")
 
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -127,6 +127,7 @@
         self._supervisor = supervision.Supervisor(nursery)
         await self._peers.start(nursery)
         self._lease_relay.start(self._supervisor)
+        self._node.limits.start(self._supervisor)
         self._node.position_exchange.start(self._supervisor)
         for task in (
             self._follower.run,
--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import copy
 import functools
 import itertools
 import os
@@ -112,6 +113,7 @@
         self.store = kvstore.KvStore()
         self.group = linegroup.Group("ledger")
         self.promotion_server = duties.PromotionServer([self.group])
+        self.regions = {domain: "east" for domain in DOMAINS}
         self._store_address = find_address()
         self._promotion_server_address = find_address()
 
@@ -144,7 +146,7 @@
                 self._store_address, self._promotion_server_address
             ),
             bounds=proxy_settings.BoundSettings(limit_slack=20.0),
-            regions={domain: "east" for domain in DOMAINS},
+            regions=self.regions,
         )
 
     async def add_proxy(self, name="vm-1", domain="north"):
@@ -266,6 +268,14 @@
         for proxy in (self, *others):
             _drop_datagrams(proxy, ports if proxy is self else {own_port})
 
+    def delay_peers(self, nursery, others, delay_s):
+        """Delay all datagrams to and from other proxies by a time one way."""
+        ports = {proxy.settings.listen.first_peer_port for proxy in others}
+        own_port = self.settings.listen.first_peer_port
+        for proxy in (self, *others):
+            delayed = ports if proxy is self else {own_port}
+            _delay_datagrams(nursery, proxy, delayed, delay_s)
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Run the proxy until the cluster stops."""
         with self._cancel_scope:
@@ -301,6 +311,24 @@
     peers.send = send
 
 
+def _delay_datagrams(nursery, running, ports, delay_s):
+    """Delay the datagrams that a proxy sends to some ports."""
+    peers = running.proxy._peers
+    original_send = peers.send
+
+    async def send_late(message, address):
+        await trio.sleep(delay_s)
+        await original_send(message, address)
+
+    async def send(message, address):
+        if address[1] in ports:
+            nursery.start_soon(send_late, copy.copy(message), address)
+        else:
+            await original_send(message, address)
+
+    peers.send = send
+
+
 class Caller:
     """Client of the line protocol."""
 
--- a/tests/unit/proxy/test_limits.py
+++ b/tests/unit/proxy/test_limits.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from geraniumridge._internal.decisions.distance import estimates
 from geraniumridge._internal.decisions import limit_holders
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import fleet
@@ -31,7 +32,9 @@
     def handle(self, kind, handler):
         """Ignore a handler."""
 
-    async def query(self, query, member, timeout_s):
+    async def query(
+        self, query, member, timeout_s, max_timeout_s=None, on_late=None
+    ):
         """Return the answer of the limiter or the standby."""
         self.queries.append(type(query))
         if isinstance(query, messages.StandbyRequest):
@@ -40,9 +43,15 @@
 
 
 class LimitsFixture:
-    """Limits of a VM whose teams other VMs limit and stand by for."""
+    """Limits of a VM whose teams other VMs limit and stand by for.
 
-    def __init__(self):
+    Parameters
+    ----------
+    regions : dict, optional
+        Region by failure domain; one region by default.
+    """
+
+    def __init__(self, regions=None):
         self.view = view.View(lambda key, value: value)
         for revision, (vm, domain) in enumerate(
             [("limiter", "south"), ("standby", "north")], 1
@@ -53,8 +62,15 @@
             item = store.Item(fleet.make_member_key(vm), member, revision)
             self.view.apply(0.0, store.Changes((item,), revision))
         vm = types.SimpleNamespace(name="vm-1", domain="north")
+        self.distances = estimates.Distances(
+            "north",
+            regions or {},
+            lambda vm: self.view.members[vm].domain,
+        )
         node = types.SimpleNamespace(
-            view=self.view, settings=types.SimpleNamespace(vm=vm)
+            view=self.view,
+            settings=types.SimpleNamespace(vm=vm),
+            distances=self.distances,
         )
         self.peers = FakePeers()
         self.limits = limits.Limits(node, self.peers)
@@ -177,3 +193,212 @@
         assert await fixture.take()
 
     run(test)
+
+
+class DistantPeers(FakePeers):
+    """Limiter in another region, and a standby that answers at once.
+
+    The limiter grants what is requested after `delay_s`; None loses its
+    answers. `granted` are the tokens of its answers.
+    """
+
+    def __init__(self, distances):
+        super().__init__()
+        self._distances = distances
+        self.delay_s = 0.04
+        self.granted = 0
+        self.late = []
+
+    async def query(
+        self, query, member, timeout_s, max_timeout_s=None, on_late=None
+    ):
+        """Return the answer if it comes within the learned time limit."""
+        if isinstance(query, messages.StandbyRequest):
+            self.queries.append(type(query))
+            return self.standby_answer
+        self.queries.append(type(query))
+        timeout_s = self._distances.get_timeout_s(
+            member.vm, timeout_s, max_timeout_s
+        )
+        if self.delay_s is None or self.delay_s > timeout_s:
+            self.late.append((on_late, query.wanted))
+            await trio.sleep(timeout_s)
+            return None
+        await trio.sleep(self.delay_s)
+        self._distances.note_round_trip(
+            member.vm, self.delay_s, trio.current_time()
+        )
+        self.granted += query.wanted
+        return limiter_module.make_grant(1, tokens=query.wanted)
+
+
+def run_distant(test):
+    """Run a test with a limiter in another region."""
+
+    async def main():
+        fixture = LimitsFixture({"north": "east", "south": "west"})
+        peers = DistantPeers(fixture.distances)
+        peers.standby_answer = limiter_module.make_grant(1, tokens=0)
+        fixture.peers = fixture.limits._peers = peers
+        async with trio.open_nursery() as nursery:
+            fixture.limits.start(nursery)
+            await test(fixture)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_operations_wait_for_a_limiter_in_another_region():
+    """Its answer takes twice the time limit within one region."""
+
+    async def test(fixture):
+        for _ in range(3):
+            assert await fixture.limits.take(fixture.team, 0.0, 0.25)
+            await trio.sleep(0.5)
+        assert set(fixture.peers.queries) == {messages.TokenRequest}
+
+    run_distant(test)
+
+
+def test_operations_of_one_moment_wait_for_one_round_trip_together():
+    """One request after the other would take a round trip each."""
+
+    async def test(fixture):
+        taken = []
+
+        async def take():
+            taken.append(await fixture.limits.take(fixture.team, 0.0, 0.25))
+
+        began_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(take)
+        assert taken == [True] * 20
+        assert trio.current_time() - began_at < 0.4
+
+    run_distant(test)
+
+
+def test_tokens_of_another_region_are_requested_ahead_of_need():
+    async def test(fixture):
+        waited = 0
+        for number in range(100):
+            began_at = trio.current_time()
+            assert await fixture.limits.take(fixture.team, 0.0, 0.25)
+            if trio.current_time() - began_at > 0.01:
+                waited += 1
+            await trio.sleep(0.01)
+        assert waited < 20
+        assert fixture.peers.granted < 150
+
+    run_distant(test)
+
+
+def test_caller_waits_no_longer_than_it_can():
+    async def test(fixture):
+        fixture.peers.delay_s = None
+        began_at = trio.current_time()
+        assert not await fixture.limits.take(fixture.team, 0.0, 0.1)
+        assert 0.09 < trio.current_time() - began_at < 0.3
+
+    run_distant(test)
+
+
+def test_limiter_of_a_cut_region_counts_as_silent_in_bounded_time():
+    """Operations then get the standby's tokens without waiting for it."""
+
+    async def test(fixture):
+        for _ in range(100):
+            fixture.distances.note_timeout("limiter")
+        fixture.peers.delay_s = None
+        fixture.peers.standby_answer = limiter_module.make_grant(1, tokens=1)
+        assert await fixture.limits.take(fixture.team, 0.0, 0.25)
+        longest_s = limits.LIMITER_ATTEMPTS * limits.MAX_ANSWER_TIMEOUT_S
+        await trio.sleep(longest_s + 0.05)
+        for _ in range(10):
+            began_at = trio.current_time()
+            assert await fixture.limits.take(fixture.team, 0.0, 0.25)
+            assert trio.current_time() - began_at < 0.1
+            await trio.sleep(0.1)
+        # It is still asked now and then, and counts again when it answers.
+        count = fixture.peers.queries.count(messages.TokenRequest)
+        assert 2 < count <= 2 + 2 * 4
+        fixture.peers.delay_s = 0.04
+        fixture.peers.standby_answer = limiter_module.make_grant(1, tokens=0)
+        await trio.sleep(2 * limits.SILENT_RETRY_DELAY_S)
+        assert await fixture.limits.take(fixture.team, 0.1, 0.25)
+
+    run_distant(test)
+
+
+def test_late_tokens_are_kept_until_they_would_have_expired():
+    """They were taken from the limit, and their lifetime is from the request.
+
+    Nothing of this depends on the region.
+    """
+
+    async def test(fixture):
+        late = []
+        original_query = fixture.peers.query
+
+        async def query(*arguments, on_late=None):
+            late.append(arguments[4] if len(arguments) > 4 else on_late)
+            return await original_query(*arguments)
+
+        fixture.peers.query = query
+        grant = limiter_module.make_grant(1, tokens=2)
+        assert not await fixture.take()
+        late[0](grant)
+        assert await fixture.take()
+        await trio.sleep(limits.token_bucket.GRANT_LIFETIME_S)
+        assert not await fixture.take()
+        late[0](grant)
+        assert not await fixture.take()
+
+    run(test)
+
+
+def test_late_tokens_end_the_wait_for_a_limiter_in_another_region():
+    async def test(fixture):
+        fixture.peers.delay_s = None
+
+        async def grant_late():
+            await trio.sleep(0.15)
+            on_late, wanted = fixture.peers.late[0]
+            on_late(limiter_module.make_grant(1, tokens=wanted))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(grant_late)
+            began_at = trio.current_time()
+            assert await fixture.limits.take(fixture.team, 0.0, 0.5)
+            assert trio.current_time() - began_at < 0.4
+
+    run_distant(test)
+
+
+def test_flood_does_not_wait_for_tokens_that_the_limiter_has_not():
+    """A team far beyond its limit is refused, and asks rarely."""
+
+    async def test(fixture):
+        async def query(query, *arguments, **options):
+            fixture.peers.queries.append(type(query))
+            if isinstance(query, messages.TokenRequest):
+                await trio.sleep(0.04)
+            return limiter_module.make_grant(1, tokens=0, retry_s=0.5)
+
+        fixture.peers.query = query
+        taken = []
+
+        async def take():
+            taken.append(await fixture.limits.take(fixture.team, 0.08, 0.25))
+
+        began_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for _ in range(200):
+                nursery.start_soon(take)
+        assert taken == [False] * 200
+        assert trio.current_time() - began_at < 0.5
+        count = fixture.peers.queries.count(messages.TokenRequest)
+        assert count <= limits.MAX_REQUESTS
+
+    run_distant(test)
