Let the pauses and time limits between regions follow the round trip

A receipt or renewal answer after 80 ms came too late for 50 ms, VMs that rank second began a failover before the notice of the first could arrive, and a target that had left one request unanswered had 0.15 s for TCP, session and request.

Ruled out: one addition to all constants, as most of them serve exchanges within a domain; late answers to renewals, as an overtaken one would leave a standby with a higher rate than the limiter subtracts.

Change: acknowledgements and renewals of fallback rates pass their ceiling to `Peers.query`, and a team has one renewal at a time. The delay by rank, the validity of suspicions and the lead of quorum requests grow by the longest round trip to another region, control requests by three round trips to the target. Placement counts the round trip in place of the fixed penalty where that is longer. A target of another region whose answer would come too late gets no attempt. Queries for views, positions and leases stay within a domain and do not change. With one region all additions are 0.

--- a/src/geraniumridge/_internal/decisions/placement.py
+++ b/src/geraniumridge/_internal/decisions/placement.py
@@ -4,7 +4,8 @@
 
 OTHER_DOMAIN_PENALTY_S = 0.010
 """Latency added for a target in another failure domain, for the cost of
-traffic between domains."""
+traffic between domains. For one in another region it is the round trip, if
+that is longer."""
 
 STALLED_PENALTY_S = 1.0
 """Latency added for a target that has a stalled call."""
@@ -75,7 +76,13 @@
 
 
 def estimate_wait_s(
-    load, target, min_position, own_domain, now, has_idle_connection=True
+    load,
+    target,
+    min_position,
+    own_domain,
+    now,
+    has_idle_connection=True,
+    round_trip_s=0.0,
 ):
     """Return the estimated latency of a read at a target, in seconds.
 
@@ -96,11 +103,13 @@
         Clock time, in seconds.
     has_idle_connection : bool
         Whether an idle connection is available.
+    round_trip_s : float, optional
+        Round trip to a target in another region, in seconds, else 0.
     """
     outstanding_per_slot = load.outstanding / max(1, target.slots)
     wait_s = load.latency_s * (1 + outstanding_per_slot)
     if target.domain != own_domain:
-        wait_s += OTHER_DOMAIN_PENALTY_S
+        wait_s += max(OTHER_DOMAIN_PENALTY_S, round_trip_s)
     if load.is_behind(min_position, now):
         wait_s += BEHIND_PENALTY_S
     if target.role is desired.Role.PRIMARY:
--- a/src/geraniumridge/_internal/proxy/acknowledgement_exchange.py
+++ b/src/geraniumridge/_internal/proxy/acknowledgement_exchange.py
@@ -7,7 +7,12 @@
 from geraniumridge._internal.network import datagrams
 
 ANSWER_TIMEOUT_S = 0.05
-"""Timeout of one delivery; the other VM may be in another domain."""
+"""Timeout of one delivery within one region; the other VM may be in another
+domain."""
+
+MAX_ANSWER_TIMEOUT_S = 0.2
+"""Longest timeout of one delivery to another region. The failover waits for
+the acknowledgement, and the store is used after `DELIVERY_ATTEMPTS`."""
 
 DELIVERY_ATTEMPTS = 2
 """Deliveries without a receipt before the store is used."""
@@ -60,7 +65,7 @@
                 vm=own, group=group, revision=revision
             )
             receipt = await self._peers.query(
-                message, member, ANSWER_TIMEOUT_S
+                message, member, ANSWER_TIMEOUT_S, MAX_ANSWER_TIMEOUT_S
             )
             if receipt is not None:
                 return True
--- a/src/geraniumridge/_internal/proxy/attempt_budget.py
+++ b/src/geraniumridge/_internal/proxy/attempt_budget.py
@@ -21,7 +21,8 @@
 """Longest pause after targets have refused."""
 
 MIN_TIME_LEFT_S = 0.02
-"""Least time left in which a further attempt makes sense."""
+"""Least time left in which a further attempt makes sense, within one region.
+The round trip to a target of another region is added."""
 
 MIN_READ_TIMEOUT_S = 0.4
 """Least timeout of a read at one target, if so much time is left."""
@@ -69,6 +70,19 @@
             return False
         return self._has_reached_target or now < self._target_wait_deadline
 
+    def may_reach(self, round_trip_s):
+        """Return whether an answer can come in time.
+
+        Parameters
+        ----------
+        round_trip_s : float
+            Round trip to the target in seconds, 0 within one region.
+        """
+        if not round_trip_s:
+            return True
+        left = self._deadline - trio.current_time()
+        return left >= MIN_TIME_LEFT_S + round_trip_s
+
     def get_timeout_s(self, is_write):
         """Return the timeout of the next attempt, in seconds."""
         left = self._deadline - trio.current_time()
--- a/src/geraniumridge/_internal/proxy/control.py
+++ b/src/geraniumridge/_internal/proxy/control.py
@@ -13,7 +13,11 @@
 """Team name under which control connections are opened."""
 
 ANSWER_TIMEOUT_S = 0.5
-"""Timeout of one request, including a new connection."""
+"""Timeout of one request, including a new connection, within one region."""
+
+ROUND_TRIPS = 3
+"""Round trips of a request with a new connection: TCP, the session and the
+request. Those to another region are added to the timeouts."""
 
 UNANSWERED_TIMEOUT_S = 0.15
 """Timeout of a request to a target that left the last one unanswered; a
@@ -41,10 +45,13 @@
         Protocol of the target.
     target : desired.Target
         The target.
+    round_trip_s : float, optional
+        Round trip to the target in seconds, 0 within one region.
     """
 
-    def __init__(self, dialect, target):
+    def __init__(self, dialect, target, round_trip_s=0.0):
         self._dialect = dialect
+        self._added_s = ROUND_TRIPS * round_trip_s
         self._link = None
         self._is_refused = False
         self._was_unanswered = False
@@ -61,8 +68,8 @@
         Parameters
         ----------
         timeout_s : float or None
-            Bound on the request in seconds; by default it depends on
-            whether the target answered the last one.
+            Bound on the request in seconds, within one region; by default it
+            depends on whether the target answered the last one.
         """
         return await self._ask(self._dialect.fetch_status, timeout_s=timeout_s)
 
@@ -90,6 +97,7 @@
     async def _ask(self, request, *arguments, timeout_s=None):
         if timeout_s is None:
             timeout_s = self._get_timeout_s()
+        timeout_s += self._added_s
         for _ in range(BUSY_ATTEMPTS):
             self._is_refused = False
             try:
@@ -119,7 +127,7 @@
     async def _ask_once(self, request, arguments):
         if self._link is None:
             self._link = await self._dialect.open(
-                self.target, CONTROL_TEAM, ANSWER_TIMEOUT_S
+                self.target, CONTROL_TEAM, ANSWER_TIMEOUT_S + self._added_s
             )
         return await request(self._link, *arguments)
 
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -23,8 +23,8 @@
 few statements take as long."""
 
 PROBE_TIMEOUT_S = 0.3
-"""Timeout of that status request; covers a new connection and a few
-round trips between regions."""
+"""Timeout of that status request within one region; covers a new
+connection."""
 
 NO_PRIMARY_DELAY_S = 2.0
 """How long a group may be without a primary before a failover starts;
@@ -41,7 +41,8 @@
 RANK_DELAY_S = 0.05
 """Delay per rank in a group's order of VMs, so that they do not all
 start the same failover; covers a write to the store and its
-notification to the others."""
+notification to the others. The longest round trip between the regions is
+added."""
 
 MAX_RANK_DELAY_S = 1.0
 """Upper bound of the delay by rank."""
@@ -244,7 +245,8 @@
         rank = rendezvous.find_rank(
             group, self._node.view.members, self._node.settings.vm.name
         )
-        return min(MAX_RANK_DELAY_S, rank * RANK_DELAY_S)
+        delay_s = RANK_DELAY_S + self._node.get_longest_round_trip_s()
+        return min(MAX_RANK_DELAY_S, rank * delay_s)
 
     def _find_reason(self, group, now):
         view = self._node.view
@@ -308,7 +310,11 @@
 
     async def _probe(self, primary):
         """Return whether a primary answers a status request."""
-        connection = control.ControlConnection(self._node.dialect, primary)
+        connection = control.ControlConnection(
+            self._node.dialect,
+            primary,
+            self._node.distances.get_added_s(primary.domain),
+        )
         try:
             status = await connection.inspect(PROBE_TIMEOUT_S)
         finally:
--- a/src/geraniumridge/_internal/proxy/group_connections.py
+++ b/src/geraniumridge/_internal/proxy/group_connections.py
@@ -45,7 +45,9 @@
         for target_id, target in targets.items():
             if target_id not in self._connections:
                 self._connections[target_id] = control.ControlConnection(
-                    self._node.dialect, target
+                    self._node.dialect,
+                    target,
+                    self._node.distances.get_added_s(target.domain),
                 )
 
     def close(self):
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -77,6 +77,8 @@
         self.is_registration_written = False
         self._store_regained = trio.Event()
         self._log_positions = {}
+        self._domains = set()
+        self._domains_version = None
         self._primary_usages = {}
 
     @property
@@ -115,8 +117,13 @@
 
     def get_longest_round_trip_s(self):
         """Return the longest round trip to VMs of other regions, else 0."""
-        domains = {item.domain for item in self.view.members.values()}
-        return self.distances.get_longest_s(domains)
+        version = self.view.roster.change_count
+        if version != self._domains_version:
+            self._domains_version = version
+            self._domains = {
+                item.domain for item in self.view.members.values()
+            }
+        return self.distances.get_longest_s(self._domains)
 
     def _find_domain(self, vm):
         member = self.view.members.get(vm)
--- a/src/geraniumridge/_internal/proxy/quorum_exchange.py
+++ b/src/geraniumridge/_internal/proxy/quorum_exchange.py
@@ -13,10 +13,15 @@
 
 REQUEST_LEAD_S = 0.35
 """How long before a confirmation is needed the other voters are asked first:
-for a second request after `REQUEST_INTERVAL_S`, and its answer."""
+for a second request after `REQUEST_INTERVAL_S`, and its answer. The round
+trip to voters of other regions is added."""
 
 REQUEST_AGE_S = primary_resolver.MAX_UNCONFIRMED_AGE_S - REQUEST_LEAD_S
-"""Age of the store view from which the other voters are asked."""
+"""Age of the store view from which the other voters are asked, within one
+region."""
+
+MAX_ADDED_LEAD_S = 0.3
+"""Longest round trip that is added to the lead."""
 
 MAX_GROUPS = 16
 """Maximum number of groups in an answer, so that it fits a datagram."""
@@ -51,11 +56,20 @@
         """
         now = clock.now()
         age_s = self._node.view_age.get_age(now)
-        if not REQUEST_AGE_S <= age_s <= primary_resolver.MAX_VIEW_AGE_S:
+        if age_s > primary_resolver.MAX_VIEW_AGE_S:
+            return
+        if age_s < REQUEST_AGE_S and not self._is_due_early(age_s):
             return
         if now - self._requested_at >= REQUEST_INTERVAL_S:
             nursery.start_soon(self._request_confirmations, now)
 
+    def _is_due_early(self, age_s):
+        """Return whether voters of other regions have to be asked by now."""
+        if age_s < REQUEST_AGE_S - MAX_ADDED_LEAD_S:
+            return False
+        added_s = self._node.get_longest_round_trip_s()
+        return age_s >= REQUEST_AGE_S - min(MAX_ADDED_LEAD_S, added_s)
+
     async def _request_confirmations(self, now):
         self._request_number = next(self._numbers)
         self._requested_at = now
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -56,6 +56,12 @@
             if destination is None:
                 await budget.wait_before_retry()
                 continue
+            domain = destination.target.domain
+            if not budget.may_reach(self._node.distances.get_least_s(domain)):
+                budget.note_not_sent(
+                    destination.target.id, "no time left for the round trip"
+                )
+                continue
             try:
                 answer = await run_attempt(context, destination, budget)
             except exceptions.NotSentError as error:
@@ -164,6 +170,7 @@
             self._node.settings.vm.domain,
             now,
             pool.has_idle_connection(context.team),
+            self._node.distances.get_added_s(target.domain),
         )
 
     def _is_allowed(self, context, target):
--- a/src/geraniumridge/_internal/proxy/standby.py
+++ b/src/geraniumridge/_internal/proxy/standby.py
@@ -7,7 +7,12 @@
 from geraniumridge._internal.utils import clock
 
 ANSWER_TIMEOUT_S = 0.05
-"""Timeout of a renewal; the limiter may be in another domain."""
+"""Timeout of a renewal within one region; the limiter may be in another
+domain."""
+
+MAX_ANSWER_TIMEOUT_S = rates.FAST_FALLBACK_DELAY_S
+"""Longest timeout of a renewal with a limiter in another region; a later
+answer does not prevent the use of the fallback rate."""
 
 
 class Standby:
@@ -31,6 +36,7 @@
         self._directory = directory
         self._own_limiter = own_limiter
         self._buckets = {}
+        self._renewing = set()
         peers.handle(datagrams.messages.StandbyRequest, self._answer_request)
 
     def refresh(self, teams, now):
@@ -45,14 +51,20 @@
             self._get_bucket(team, now).fill(reserve, now)
 
     def start_due_renewals(self, nursery, now):
-        """Renew the fallback rates that are due, in tasks of a nursery."""
+        """Renew the fallback rates that are due, in tasks of a nursery.
+
+        A team has one renewal at a time: with two, the older answer could be
+        the last to arrive, and this VM would hold a higher rate than the
+        limiter subtracts.
+        """
         has_recent_view = self._directory.has_recent_view()
         for team, bucket in self._buckets.items():
             member = self._directory.find(team).limiter
-            if member is None:
+            if member is None or team in self._renewing:
                 continue
             renewal = bucket.make_due_renewal(member, has_recent_view, now)
             if renewal is not None:
+                self._renewing.add(team)
                 nursery.start_soon(self._renew, team, bucket, member, renewal)
 
     def grant(self, number, team, wanted):
@@ -77,6 +89,12 @@
         return limiter.make_grant(number, tokens=tokens)
 
     async def _renew(self, team, bucket, member, renewal):
+        try:
+            await self._request_renewal(team, bucket, member, renewal)
+        finally:
+            self._renewing.discard(team)
+
+    async def _request_renewal(self, team, bucket, member, renewal):
         sent_at = clock.now()
         domain = self._node.settings.vm.domain
         if self._directory.is_self(member):
@@ -90,7 +108,9 @@
             rate=limiter.encode_rate(renewal.rate),
             is_in_use=renewal.is_in_use,
         )
-        answer = await self._peers.query(request, member, ANSWER_TIMEOUT_S)
+        answer = await self._peers.query(
+            request, member, ANSWER_TIMEOUT_S, MAX_ANSWER_TIMEOUT_S
+        )
         if answer is not None and answer.is_owner:
             rate = max(0.0, answer.rate / limiter.FALLBACK_RATE_SCALE)
             bucket.note_renewal(rate, member, sent_at)
--- a/src/geraniumridge/_internal/proxy/suspicion_exchange.py
+++ b/src/geraniumridge/_internal/proxy/suspicion_exchange.py
@@ -20,7 +20,8 @@
 """Least time between a VM's reports on one group."""
 
 SUSPICION_VALID_S = 0.5
-"""How long a report is reason to ask the primary for its status."""
+"""How long a report is reason to ask the primary for its status, within one
+region. It is valid longer where the VMs that are told wait longer by rank."""
 
 
 class Suspicion(typing.NamedTuple):
@@ -76,7 +77,11 @@
         suspicion = self._suspicions.get(group)
         if suspicion is None or suspicion.target != target:
             return False
-        return now - suspicion.received_at <= SUSPICION_VALID_S
+        age_s = now - suspicion.received_at
+        if age_s <= SUSPICION_VALID_S:
+            return True
+        rank_delay_s = NOTIFIED_VMS * self._node.get_longest_round_trip_s()
+        return age_s <= SUSPICION_VALID_S + rank_delay_s
 
     async def _report(self, group, target):
         members = self._node.view.members
--- a/tests/unit/decisions/test_placement.py
+++ b/tests/unit/decisions/test_placement.py
@@ -66,6 +66,24 @@
     assert best == estimate(make_load(4), now=1.0)
 
 
+def test_target_in_another_region_costs_its_round_trip():
+    def estimate_distant(round_trip_s):
+        target = fleets.make_target("a", domain="south")
+        return placement.estimate_wait_s(
+            make_load(5),
+            target,
+            LogPosition(1, 5),
+            "north",
+            0.0,
+            round_trip_s=round_trip_s,
+        )
+
+    near = estimate(make_load(5), domain="south")
+    assert estimate_distant(0.0) == estimate_distant(0.005) == near
+    longer_s = 0.1 - placement.OTHER_DOMAIN_PENALTY_S
+    assert abs(estimate_distant(0.1) - near - longer_s) < 1e-9
+
+
 def test_target_with_a_stalled_call_comes_last():
     stalled = estimate(make_load(5, outstanding=1), now=1.0)
     assert stalled > estimate(make_load(4, outstanding=6), now=0.0)
