--- a/src/geraniumridge/_internal/proxy/metrics_server.py
+++ b/src/geraniumridge/_internal/proxy/metrics_server.py
@@ -35,7 +35,11 @@
         )
 
     def _set_gauges(self):
-        """Set the gauges; `knowledge_age_seconds` is the store view's age."""
+        """Set the gauges.
+
+        `knowledge_age_seconds` is the store view's age, `round_trip_seconds`
+        the estimate for each domain whose VMs have answered this one.
+        """
         node = self._node
         gauges = {
             "knowledge_age_seconds": min(
@@ -47,6 +51,9 @@
             "target_connections": node.pools.size,
             "idle_target_connections": node.pools.idle_count,
         }
+        for domain, seconds in node.distances.list_measured().items():
+            name = f"round_trip_seconds:domain={domain}"
+            gauges[name] = round(seconds, 6)
         if node.view.state is not None:
             gauges["desired_version"] = node.view.state.version
         for name, value in gauges.items():
--- a/src/geraniumridge/_internal/utils/metrics.py
+++ b/src/geraniumridge/_internal/utils/metrics.py
@@ -35,8 +35,8 @@
 class MetricsRegistry:
     """Counters, gauges and latency histograms.
 
-    What follows a colon in the name of a counter or gauge is its
-    ``reason`` label in the text format.
+    What follows a colon in the name of a counter or gauge is its label in
+    the text format: ``label=value``, or the value of the label ``reason``.
 
     Parameters
     ----------
@@ -112,8 +112,11 @@
 
 
 def _format_value(name, value, suffix=""):
-    name, _, reason = name.partition(":")
-    labels = f'{{reason="{reason}"}}' if reason else ""
+    name, _, rest = name.partition(":")
+    label, _, text = rest.partition("=")
+    if not text or not label.isidentifier():
+        label, text = "reason", rest
+    labels = f'{{{label}="{text}"}}' if rest else ""
     return f"geraniumridge_{name}{suffix}{labels} {value}"
 
 
--- a/tests/unit/utils/test_metrics.py
+++ b/tests/unit/utils/test_metrics.py
@@ -8,11 +8,13 @@
     registry.count("served", 3)
     registry.count("refused:in_doubt")
     registry.set_gauge("members", 9)
+    registry.set_gauge("round_trip_seconds:domain=south", 0.04)
     registry.record_latency("team", "read", 0.05)
     text = registry.format_text()
     assert "geraniumridge_served_total 3\n" in text
     assert 'geraniumridge_refused_total{reason="in_doubt"} 1\n' in text
     assert "geraniumridge_members 9\n" in text
+    assert 'geraniumridge_round_trip_seconds{domain="south"} 0.04\n' in text
     assert 'latency_seconds{team="team",kind="read",quantile="0.99"}' in text
     assert 'latency_seconds_count{team="team",kind="read"} 1' in text
 
