--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -74,7 +74,9 @@
         self._is_stopping = False
         self._stop_scopes = set()
         self._sessions = set()
-        self._peers = datagrams.Peers(node.settings.peer_address)
+        self._peers = datagrams.Peers(
+            node.settings.peer_address, node.distances
+        )
         self._view_exchange = view_exchange.ViewExchange(node, self._peers)
         self._follower = follower.StoreFollower(
             node, store, self._view_exchange, self._apply_view_change
@@ -133,6 +135,7 @@
         await self._peers.start(nursery)
         await self._lender.start(nursery)
         self._lease_relay.start(self._supervisor)
+        self._node.limits.start(self._supervisor)
         self._node.position_exchange.start(self._supervisor)
         for task in (
             self._follower.run,
