--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Counting of usage, and decisions about its reports."""
--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -66,8 +66,26 @@
     limit_slack: settings.NonNegativeFloat = 0.0
 
 
+class UsageSettings(typing.NamedTuple):
+    """Settings of the usage reports.
+
+    A window lasts `window_s` seconds and its report is due `late_s`
+    seconds after its end. `tolerance` is the tolerated relative error of
+    a team's count. `lease_s` is the least lease of the reporter, in
+    seconds.
+    """
+
+    window_s: float
+    tolerance: float
+    late_s: float
+    lease_s: float
+
+
 class ProxySettings(typing.NamedTuple):
-    """All settings; `regions` maps failure domains to regions."""
+    """All settings; `regions` maps failure domains to regions.
+
+    `usage` is None where no usage is reported.
+    """
 
     vm: VmSettings
     listen: ListenSettings
@@ -75,6 +93,7 @@
     bounds: BoundSettings = BoundSettings()
     regions: dict[str, str] = {}
     log: settings.LogSettings = settings.LogSettings()
+    usage: UsageSettings | None = None
 
     @property
     def peer_address(self):
