--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -255,6 +255,9 @@
         )
         sent_at = clock.now()
         call_number = pool.load.begin(sent_at)
+        usage_counter = self._node.usage_counter
+        if usage_counter is not None:
+            usage_counter.note_begun(context.team, sent_at)
         answer = None
         try:
             with trio.move_on_at(deadline) as scope:
@@ -279,6 +282,9 @@
             raise exceptions.ConnectionLostError(
                 f"{destination.target.id}: silent"
             )
+        is_refused = answer.outcome in statements.NOT_EXECUTED
+        if usage_counter is not None and is_refused:
+            usage_counter.note_refused(context.team, sent_at)
         if not answer.is_success and rows.has_begun:
             pool.discard(connection)
             _check_not_begun(rows, answer.outcome.value)
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -40,7 +40,8 @@
 
     Notes
     -----
-    `limits` and `position_exchange` are set by `proxy.daemon.Proxy`.
+    `limits` and `position_exchange` are set by `proxy.daemon.Proxy`, and
+    `usage_counter` where usage is reported; it is None otherwise.
     `lease_until` is the clock time in seconds up to which the VM's lease
     lasts at least, and `is_registration_written` is whether the store has
     accepted the VM's registration under it.
@@ -69,6 +70,7 @@
         self.metrics = metrics.MetricsRegistry()
         self.limits = None
         self.position_exchange = None
+        self.usage_counter = None
         self.lease_until = -math.inf
         self.is_registration_written = False
         self._store_regained = trio.Event()
