Collect the counts of all VMs at the reporter, and judge their completeness

VMs send cumulative counts to the collector of their domain twice a second and once after the window's end as final; collectors send the sums of the final counts, and the others one by one, to the reporter. make_report gives a report if all registered VMs are final, or if what may be missing is within each team's tolerance at the time of decision.

With a tenth of the datagrams lost, two VMs changed their collector for a while, both collectors listed them, and two windows of five were skipped because only one of two overlapping sums could be used. The reporter now also tells a collector which final runs to leave out. Settling the clock on the first VM heard: the first VMs to start followed a clock 2 s off, and windows were skipped while the offset moved back.

A VM never collects its own counts while there is another one, which keeps them if it is killed.

test_datagram_handlers.py: the new messages and their handlers are added, none taken out. tests/unit: all pass but test_reader_polls_at_its_interval, once of two whole runs; it passes by itself and its code is unchanged.

--- a/src/geraniumridge/_internal/decisions/usage/clock.py
+++ b/src/geraniumridge/_internal/decisions/usage/clock.py
@@ -18,6 +18,13 @@
 """Most by which the offset moves in a second. A window is then at most half
 a percent longer or shorter than it should be."""
 
+OUTVOTING_OTHERS = 3
+"""Other VMs from which on one wrong time of day is outvoted for certain."""
+
+FEW_OTHERS_WAIT_S = 3.0
+"""How long a VM that hears fewer waits for more. When all VMs start, one is
+registered first."""
+
 
 class _Source:
     """Offset of one VM's time of day from this VM's boot clock."""
@@ -75,7 +82,10 @@
         self._sources = {own: _Source(time_of_day - now, now)}
         self._offset = time_of_day - now
         self._median = self._offset
+        self._started_at = now
         self._updated_at = now
+        self._can_outvote = False
+        self._steady_since = -math.inf
         self._is_settled = False
 
     @property
@@ -96,6 +106,15 @@
         """Seconds by which the offset still has to move to the median."""
         return abs(self._median - self._offset)
 
+    @property
+    def steady_since(self):
+        """Boot time since which the offset moves slowly.
+
+        Windows that began before were counted by other bounds. It is minus
+        infinity unless the first few VMs of a fleet had wrong clocks.
+        """
+        return self._steady_since
+
     def set_references(self, vms):
         """Set the VMs whose time of day is read, and forget all others."""
         self._references = frozenset(vms)
@@ -132,6 +151,9 @@
         """
         others = self._references - {self._own}
         heard = others & self._sources.keys()
+        is_waiting = now - self._started_at < FEW_OTHERS_WAIT_S
+        if is_waiting and len(heard) < OUTVOTING_OTHERS:
+            return
         if 2 * len(heard) >= len(others):
             self._update(now)
             self._is_settled = True
@@ -159,7 +181,12 @@
         if steady:
             self._median = statistics.median(steady.values())
         step = self._median - self._offset
-        if self._is_settled:
+        others = steady.keys() - {self._own}
+        if not self._can_outvote and len(others) >= OUTVOTING_OTHERS:
+            self._can_outvote = True
+            if self._is_settled and abs(step) > JUMP_S:
+                self._steady_since = now
+        elif self._is_settled:
             most = MAX_SLEW * max(0.0, now - self._updated_at)
             step = min(most, max(-most, step))
         self._offset += step
--- a/src/geraniumridge/_internal/decisions/usage/reports.py
+++ b/src/geraniumridge/_internal/decisions/usage/reports.py
@@ -36,3 +36,6 @@
 
 CLOCK_MOVED = "clock_moved"
 """The common clock moved too far for the window's bounds to be known."""
+
+TOO_LATE = "too_late"
+"""The window ended longer ago than counts are kept."""
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -28,6 +28,9 @@
     messages.FailoverAcknowledgement: messages.AcknowledgementReceipt,
     messages.LeaseRenewalRequest: messages.LeaseRenewalAnswer,
     messages.PositionQuery: messages.PositionAnswer,
+    messages.TimeQuery: messages.TimeAnswer,
+    messages.UsageCounts: messages.UsageReceipt,
+    messages.UsageSums: messages.UsageReceipt,
 }
 """Messages that answer one query, identified by its number. A
 `ConfirmationAnswer` is passed to a handler, as its request goes to many
@@ -56,6 +59,11 @@
     messages.PositionAnswer,
     messages.PositionNotice,
     messages.PrimarySuspicion,
+    messages.TimeQuery,
+    messages.TimeAnswer,
+    messages.UsageCounts,
+    messages.UsageSums,
+    messages.UsageReceipt,
 )
 _TYPE_NUMBERS = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
--- a/src/geraniumridge/_internal/network/peer_messages.py
+++ b/src/geraniumridge/_internal/network/peer_messages.py
@@ -278,3 +278,90 @@
         2: (TType.STRING, "target", True),
     }
     default_spec = [("group", None), ("target", None)]
+
+
+class TimeQuery(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.I64, "number", True),
+    }
+    default_spec = [("number", None)]
+
+
+class TimeAnswer(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.I64, "number", True),
+        2: (TType.I64, "time_us", True),
+    }
+    default_spec = [("number", None), ("time_us", None)]
+
+
+class UsageCounts(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.I64, "number", True),
+        2: (TType.STRING, "vm", True),
+        3: (TType.STRING, "boot", True),
+        4: (TType.I64, "window", True),
+        5: (TType.I64, "sequence", True),
+        6: (TType.I32, "part", True),
+        7: (TType.I32, "parts", True),
+        8: (TType.I64, "covered_ms", True),
+        9: (TType.BOOL, "is_final", True),
+        10: (TType.BINARY, "counts", True),
+    }
+    default_spec = [
+        ("number", None),
+        ("vm", None),
+        ("boot", None),
+        ("window", None),
+        ("sequence", None),
+        ("part", None),
+        ("parts", None),
+        ("covered_ms", None),
+        ("is_final", None),
+        ("counts", None),
+    ]
+
+
+class UsageSums(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.I64, "number", True),
+        2: (TType.STRING, "vm", True),
+        3: (TType.STRING, "boot", True),
+        4: (TType.I64, "window", True),
+        5: (TType.I64, "sequence", True),
+        6: (TType.I32, "part", True),
+        7: (TType.I32, "parts", True),
+        8: (TType.BINARY, "teams", True),
+        9: (TType.BINARY, "final_runs", True),
+        10: (TType.BINARY, "open_runs", True),
+    }
+    default_spec = [
+        ("number", None),
+        ("vm", None),
+        ("boot", None),
+        ("window", None),
+        ("sequence", None),
+        ("part", None),
+        ("parts", None),
+        ("teams", None),
+        ("final_runs", None),
+        ("open_runs", None),
+    ]
+
+
+class UsageReceipt(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.I64, "number", True),
+        2: (TType.BINARY, "excluded", True),
+    }
+    default_spec = [("number", None), ("excluded", None)]
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -159,3 +159,59 @@
   1: required string group
   2: required string target
 }
+
+/** Asks a VM for its time of day. */
+struct TimeQuery {
+  1: required i64 number
+}
+
+/** Answers a time query, in microseconds since the start of 1970. */
+struct TimeAnswer {
+  1: required i64 number
+  2: required i64 time_us
+}
+
+/** Part `part` of `parts` of the cumulative counts that a run of a VM has for
+    a window. All parts of one set of counts have the same `sequence`; a later
+    set has a greater one. The counts cover the first `covered_ms` of the
+    window, and no more are expected if `is_final`. `counts` is a MessagePack
+    map of team to count. */
+struct UsageCounts {
+  1: required i64 number
+  2: required string vm
+  3: required string boot
+  4: required i64 window
+  5: required i64 sequence
+  6: required i32 part
+  7: required i32 parts
+  8: required i64 covered_ms
+  9: required bool is_final
+  10: required binary counts
+}
+
+/** Part of the sums of a window over the VMs that send to a collector, the run
+    `boot` of `vm`. `teams` is a MessagePack map of team to the sum over the
+    runs whose counts are final, and `final_runs` a list of those, each as VM
+    and boot. `open_runs` is a list of the others, each as VM, boot, sequence
+    and a map of team to its count and to the bound on what is missing in it,
+    in thousandths. */
+struct UsageSums {
+  1: required i64 number
+  2: required string vm
+  3: required string boot
+  4: required i64 window
+  5: required i64 sequence
+  6: required i32 part
+  7: required i32 parts
+  8: required binary teams
+  9: required binary final_runs
+  10: required binary open_runs
+}
+
+/** Confirms that a part of counts or sums has been received. `excluded` is a
+    MessagePack list of runs that the sums must not include, since those of
+    another collector do. */
+struct UsageReceipt {
+  1: required i64 number
+  2: required binary excluded
+}
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -20,6 +20,7 @@
 from geraniumridge._internal.proxy import session
 from geraniumridge._internal.proxy import suspicion_exchange
 from geraniumridge._internal.proxy import target_recorder
+from geraniumridge._internal.proxy.usage import collection
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
 from geraniumridge._internal.utils import supervision
@@ -51,6 +52,9 @@
 """Fraction of the grace period in which running statements may end. The
 rest is for ending the lease."""
 
+USAGE_GRACE_S = 0.3
+"""Time for sending the last counts when the VM stops."""
+
 
 class Proxy:
     """The statement path of one VM.
@@ -107,6 +111,12 @@
         self._quorum_exchange = quorum_exchange.QuorumExchange(
             node, self._peers
         )
+        self.usage_collection = None
+        if node.settings.usage is None:
+            collection.ignore_messages(self._peers)
+        else:
+            self.usage_collection = collection.Collection(node, self._peers)
+            node.usage_counter = self.usage_collection.counter
 
     @property
     def is_stopping(self):
@@ -134,6 +144,8 @@
             self._close_unused_connections,
         ):
             self._supervisor.keep_running(task)
+        if self.usage_collection is not None:
+            self.usage_collection.start(self._supervisor)
 
     async def open_session(self, database, key):
         """Return a new session and None, or None and the refusal."""
@@ -205,6 +217,9 @@
         await self._wait_statements_ended(
             began_at + grace_s * STATEMENT_GRACE_SHARE
         )
+        if self.usage_collection is not None:
+            with trio.move_on_after(USAGE_GRACE_S):
+                await self.usage_collection.finish()
         with trio.move_on_after(CHECK_INTERVAL_S * 5):
             await self._membership.leave()
         self._node.pools.close_idle()
--- /dev/null
+++ b/src/geraniumridge/_internal/proxy/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange of usage counts between the VMs."""
--- a/tests/functional/test_proxy_usage.py
+++ b/tests/functional/test_proxy_usage.py
@@ -3,6 +3,11 @@
 import pytest
 import trio
 
+from geraniumridge._internal.decisions.usage import reports
+from geraniumridge._internal.models import proxy_settings
+from geraniumridge._internal.proxy.usage import collection
+from geraniumridge._internal.utils import clock
+from geraniumridge._internal.utils import rendezvous
 from lib import proxies
 
 
@@ -80,3 +85,175 @@
     assert proxy.node.usage_counter is None
     caller = await cluster.connect(proxy)
     assert proxies.is_success(await caller.query("WRITE a 1"))
+
+
+WINDOW_S = 2.0
+
+USAGE = proxy_settings.UsageSettings(
+    window_s=WINDOW_S, tolerance=0.05, late_s=8.0, lease_s=3.0
+)
+
+
+async def add_counting_proxy(cluster, name, domain):
+    """Start a proxy with usage settings."""
+    settings = cluster.make_settings(name, domain)._replace(usage=USAGE)
+    return await cluster._start_proxy(proxies.RunningProxy(cluster, settings))
+
+
+async def wait_window_begins(reporter):
+    """Wait until a window begins; return its number."""
+    usage_clock = reporter.clock
+    window = usage_clock.get_window(clock.now())
+    while usage_clock.get_window(clock.now()) == window:
+        await trio.sleep(0.01)
+    return window + 1
+
+
+async def wait_result(reporter, window):
+    """Return the report of a window, or that it was skipped."""
+    due = reporter.clock.get_end(window) + USAGE.late_s
+    while clock.now() < due:
+        result = reporter.make_report(window)
+        if result is not None:
+            return result
+        await trio.sleep(0.05)
+    raise AssertionError(f"window {window} was not decided in time")
+
+
+async def start_two_domains(cluster):
+    """Start two proxies in each of two domains; return them."""
+    running = [
+        await add_counting_proxy(cluster, f"vm-{number}", domain)
+        for number, domain in enumerate(("north", "north", "south", "south"))
+    ]
+    for proxy in running:
+        counting = proxy.proxy.usage_collection
+        await proxies.wait_until(lambda: counting.clock.is_settled)
+        counting.set_reporter("vm-0")
+    return running
+
+
+async def run_reads(cluster, proxy, count, interval_s=0.0):
+    """Run some reads, each of which succeeds."""
+    caller = await cluster.connect(proxy, "stock")
+    for _ in range(count):
+        assert proxies.is_success(await caller.query("READ a"))
+        await trio.sleep(interval_s)
+    await caller.close()
+
+
+def count_executed(cluster):
+    """Return the requests that the instances ran."""
+    return sum(
+        len(instance.executed) for instance in cluster.group.instances.values()
+    )
+
+
+def test_report_of_two_domains_is_exact():
+    """The sums of the collectors add up to what the targets ran."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            running = await start_two_domains(cluster)
+            reporter = running[0].proxy.usage_collection
+            window = await wait_window_begins(reporter)
+            executed = count_executed(cluster)
+            for count, proxy in enumerate(running, 3):
+                await run_reads(cluster, proxy, count)
+            await trio.sleep(0.1)
+            expected = count_executed(cluster) - executed
+            assert reporter.clock.get_window(clock.now()) == window
+            result = await wait_result(reporter, window)
+            assert result == reports.UsageReport(window, {"team": expected})
+            assert expected == 3 + 4 + 5 + 6
+            idle = await wait_result(reporter, window + 1)
+            assert idle == reports.UsageReport(window + 1, {})
+
+    trio.run(main)
+
+
+def test_window_before_the_start_is_skipped():
+    """Its counts before the start are not known."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            running = await start_two_domains(cluster)
+            reporter = running[0].proxy.usage_collection
+            window = reporter.clock.get_window(reporter._started_at)
+            result = await wait_result(reporter, window)
+            assert result == reports.SkippedWindow(
+                window, reports.BEFORE_START
+            )
+
+    trio.run(main)
+
+
+def test_vm_killed_after_few_requests_does_not_prevent_the_report():
+    """What it may have counted since its last message is too little."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            running = await start_two_domains(cluster)
+            reporter = running[0].proxy.usage_collection
+            window = await wait_window_begins(reporter)
+            executed = count_executed(cluster)
+            await run_reads(cluster, running[3], 1)
+            await run_reads(cluster, running[1], 150)
+            await trio.sleep(0.7)
+            running[3].stop()
+            expected = count_executed(cluster) - executed
+            assert reporter.clock.get_window(clock.now()) == window
+            result = await wait_result(reporter, window)
+            assert result == reports.UsageReport(window, {"team": expected})
+
+    trio.run(main)
+
+
+def test_window_in_which_a_busy_vm_was_killed_is_skipped():
+    """It may have counted many requests since its last message."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            running = await start_two_domains(cluster)
+            reporter = running[0].proxy.usage_collection
+            window = await wait_window_begins(reporter)
+            await run_reads(cluster, running[3], 100)
+            await run_reads(cluster, running[1], 10)
+            await trio.sleep(0.7)
+            running[3].stop()
+            result = await wait_result(reporter, window)
+            assert result == reports.SkippedWindow(
+                window, reports.MISSING_COUNTS
+            )
+            later = await wait_result(reporter, window + 2)
+            assert later == reports.UsageReport(window + 2, {})
+
+    trio.run(main)
+
+
+def test_counts_reach_the_reporter_through_the_next_collector():
+    """The first one dies before the window ends."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            running = await start_two_domains(cluster)
+            reporter = running[0].proxy.usage_collection
+            names = {"vm-2", "vm-3"}
+            first = rendezvous.choose_node(collection.COLLECTOR_KEY, names)
+            (other,) = names - {first}
+            window = await wait_window_begins(reporter)
+            await run_reads(cluster, running[int(other[-1])], 53)
+            await run_reads(cluster, running[int(first[-1])], 1)
+            await run_reads(cluster, running[0], 6)
+            await trio.sleep(0.7)
+            running[int(first[-1])].stop()
+            result = await wait_result(reporter, window)
+            assert result == reports.UsageReport(window, {"team": 60})
+            later = await wait_window_begins(reporter) + 2
+            while reporter.clock.get_window(clock.now()) < later:
+                await trio.sleep(0.05)
+            await run_reads(cluster, running[int(other[-1])], 7)
+            result = await wait_result(reporter, later)
+            assert result == reports.UsageReport(later, {"team": 7})
+
+    trio.run(main)
--- a/tests/unit/decisions/usage/test_usage_clock.py
+++ b/tests/unit/decisions/usage/test_usage_clock.py
@@ -19,7 +19,7 @@
     made.set_references(references)
     for vm in references:
         made.note_reading(vm, EPOCH, 0.0)
-    made.settle(0.0)
+    made.settle(0.0 if references else clock.FEW_OTHERS_WAIT_S)
     assert made.is_settled
     return made
 
@@ -74,10 +74,30 @@
     made = clock.UsageClock(WINDOW_S, "vm-1", EPOCH + 3.0, 0.0)
     made.set_references(OTHERS)
     made.note_reading("vm-2", EPOCH, 0.0)
-    made.settle(0.0)
+    made.settle(10.0)
     assert not made.is_settled
     made.note_reading("vm-3", EPOCH, 0.1)
-    made.settle(0.1)
+    made.settle(10.1)
+    assert made.is_settled
+
+
+def test_vm_that_started_alone_with_a_wrong_clock_follows_the_others():
+    """At once, and it says which windows it counted by another clock."""
+    made = make_clock((), own_error_s=2.0)
+    assert made.get_true_time(6.0) == EPOCH + 8.0
+    made.set_references(OTHERS)
+    for vm in OTHERS:
+        made.note_reading(vm, EPOCH + 20.0, 20.0)
+    assert made.get_true_time(20.0) == EPOCH + 20.0
+    assert made.steady_since == 20.0
+
+
+def test_vm_that_is_the_first_to_start_waits_for_others():
+    made = clock.UsageClock(WINDOW_S, "vm-1", EPOCH + 3.0, 0.0)
+    made.set_references(["vm-1"])
+    made.settle(1.0)
+    assert not made.is_settled
+    made.settle(clock.FEW_OTHERS_WAIT_S)
     assert made.is_settled
 
 
--- a/tests/unit/decisions/usage/test_usage_counter.py
+++ b/tests/unit/decisions/usage/test_usage_counter.py
@@ -12,7 +12,7 @@
     """Return a counter and its clock, whose window 0 begins at 0."""
     usage_clock = clock.UsageClock(WINDOW_S, "vm-1", 0.0, 0.0)
     if is_settled:
-        usage_clock.settle(0.0)
+        usage_clock.settle(clock.FEW_OTHERS_WAIT_S)
     made = counter.UsageCounter(usage_clock, TEAMS.__contains__, RETAINED)
     return made, usage_clock
 
@@ -68,7 +68,7 @@
     assert made.get_counts(0).counts == {}
     usage_clock.set_references(["vm-2"])
     usage_clock.note_reading("vm-2", 101.2, 1.2)
-    usage_clock.settle(1.2)
+    usage_clock.settle(clock.FEW_OTHERS_WAIT_S)
     made.update(1.2)
     assert made.get_counts(20).counts == {"a": 1}
 
--- a/tests/unit/proxy/test_datagram_handlers.py
+++ b/tests/unit/proxy/test_datagram_handlers.py
@@ -1,9 +1,11 @@
 """Handlers of datagrams take any message that can be decoded."""
 
+import time
 import types
 
 from hypothesis import given
 from hypothesis import strategies as st
+import msgspec
 import trio
 
 from geraniumridge._internal.decisions import position_history
@@ -13,6 +15,7 @@
 from geraniumridge._internal.decisions import view_age
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
+from geraniumridge._internal.models import proxy_settings
 from geraniumridge._internal.models import records
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.ports import store
@@ -22,8 +25,10 @@
 from geraniumridge._internal.proxy import position_exchange
 from geraniumridge._internal.proxy import quorum_exchange
 from geraniumridge._internal.proxy import suspicion_exchange
+from geraniumridge._internal.proxy.usage import collection
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
+from geraniumridge._internal.utils import metrics
 from lib import fleets
 
 messages = datagrams.messages
@@ -37,6 +42,26 @@
 numbers = st.integers(-(2**63), 2**63 - 1)
 counts = st.integers(-(2**31), MAX_I32)
 names = st.one_of(st.just("team"), st.text(max_size=20))
+windows = st.one_of(
+    st.integers(-2, 2).map(lambda item: int(time.time() / 5.0) + item),
+    numbers,
+)
+packed = st.one_of(
+    st.binary(max_size=50),
+    st.sampled_from(
+        [
+            {},
+            [],
+            {"team": 5},
+            {"team": -1},
+            {"team": 2**60},
+            {"unknown": 5},
+            [["vm-1", "boot"]],
+            [["vm-1", "boot", 3, {"team": [5, 100]}]],
+            [["vm-1", "boot", 3, {"unknown": [5, -100]}]],
+        ]
+    ).map(msgspec.msgpack.encode),
+)
 any_message = st.one_of(
     st.builds(
         messages.TokenRequest,
@@ -121,6 +146,35 @@
         is_renewed=st.booleans(),
         is_lost=st.booleans(),
     ),
+    st.builds(messages.TimeQuery, number=numbers),
+    st.builds(messages.TimeAnswer, number=numbers, time_us=numbers),
+    st.builds(
+        messages.UsageCounts,
+        number=numbers,
+        vm=names,
+        boot=names,
+        window=windows,
+        sequence=numbers,
+        part=st.one_of(st.just(0), counts),
+        parts=st.one_of(st.just(1), counts),
+        covered_ms=st.one_of(st.just(7), numbers),
+        is_final=st.booleans(),
+        counts=packed,
+    ),
+    st.builds(
+        messages.UsageSums,
+        number=numbers,
+        vm=names,
+        boot=names,
+        window=windows,
+        sequence=numbers,
+        part=st.one_of(st.just(0), counts),
+        parts=st.one_of(st.just(1), counts),
+        teams=packed,
+        final_runs=packed,
+        open_runs=packed,
+    ),
+    st.builds(messages.UsageReceipt, number=numbers, excluded=packed),
 )
 
 
@@ -180,7 +234,10 @@
             vm=types.SimpleNamespace(name="vm-1", domain="north"),
             bounds=types.SimpleNamespace(limit_slack=20.0),
             regions={"north": "east"},
+            usage=proxy_settings.UsageSettings(5.0, 0.05, 10.0, 3.0),
         ),
+        boot="boot",
+        metrics=metrics.MetricsRegistry(),
     )
     peers = EncodingPeers()
     limits.Limits(node, peers)
@@ -190,6 +247,9 @@
     suspicion_exchange.SuspicionExchange(node, peers)
     quorum_exchange.QuorumExchange(node, peers)
     acknowledgement_exchange.AcknowledgementExchange(node, peers)
+    usage = collection.Collection(node, peers)
+    usage.clock.settle(now + 10.0)
+    assert usage.clock.is_settled
     return peers
 
 
