--- a/src/geraniumridge/_internal/decisions/usage/completeness.py
+++ b/src/geraniumridge/_internal/decisions/usage/completeness.py
@@ -3,13 +3,12 @@
 import enum
 import typing
 
-from geraniumridge._internal.decisions.usage import merging
-
 NEGLIGIBLE_MISSING = 0.5
-"""Bound on what is missing in a team's count that is taken for nothing.
+"""Bound on what is missing in a small team's count that is taken for nothing.
 
 Below 1 / tolerance requests, one request exceeds the tolerance. Such a team
-is reported only if less than half a request is expected to be missing.
+prevents a report only if more than half a request may be missing, since
+otherwise each VM that is killed would cost a report.
 """
 
 MAX_COLLECTORS = 1_024
@@ -29,6 +28,18 @@
     INCOMPLETE = "incomplete"
 
 
+class TeamTotal(typing.NamedTuple):
+    """A team's count over all runs, and what may be missing in it.
+
+    `missing` is the sum of the runs' bounds, and `most_missing` that of the
+    bounds rounded up to one request.
+    """
+
+    count: int
+    missing: float
+    most_missing: float
+
+
 class Verdict(typing.NamedTuple):
     """Sums of a window and how complete they are.
 
@@ -92,15 +103,15 @@
         for former in [item for item in self._windows if item < window]:
             del self._windows[former]
 
-    def judge(self, window, vms):
+    def judge(self, window, registered):
         """Return the `Verdict` on a window.
 
         Parameters
         ----------
         window : int
             The window.
-        vms : iterable of str
-            VMs that were registered in it. Counts of others are added, and
+        registered : iterable of merging.Run
+            Runs that were registered in it. Counts of others are added, and
             theirs must be final as well.
         """
         received = list(self._windows.get(window, {}).values())
@@ -110,8 +121,8 @@
             for run, item in _find_newest(received).items()
             if run not in final_runs
         }
-        listed = {run.vm for run in final_runs | open_runs.keys()}
-        unlisted = frozenset(vms) - listed
+        listed = final_runs | open_runs.keys()
+        unlisted = {run.vm for run in frozenset(registered) - listed}
         teams = _add_up(received, open_runs.values())
         in_doubt = frozenset(
             team for team, item in teams.items() if self._is_in_doubt(item)
@@ -125,12 +136,14 @@
         counts = {
             team: item.count for team, item in teams.items() if item.count
         }
-        open_vms = unlisted | {run.vm for run in open_runs}
+        open_vms = frozenset(unlisted | {run.vm for run in open_runs})
         return Verdict(result, counts, open_vms, in_doubt)
 
     def _is_in_doubt(self, item):
-        allowed = max(self._tolerance * item.count, NEGLIGIBLE_MISSING)
-        return item.missing > allowed
+        allowed = self._tolerance * item.count
+        if allowed < 1.0:
+            return item.missing > NEGLIGIBLE_MISSING
+        return item.most_missing > allowed
 
 
 def _find_newest(received):
@@ -145,16 +158,21 @@
 
 
 def _add_up(received, open_runs):
+    """Return the `TeamTotal` by team of final sums and open runs."""
     teams = {}
-    final = [
-        (team, merging.TeamCount(count, 0.0))
-        for sums in received
-        for team, count in sums.teams.items()
-    ]
-    not_final = [entry for run in open_runs for entry in run.teams.items()]
-    for team, item in final + not_final:
-        known = teams.get(team, merging.TeamCount(0, 0.0))
-        teams[team] = merging.TeamCount(
-            known.count + item.count, known.missing + item.missing
-        )
+    for sums in received:
+        for team, count in sums.teams.items():
+            _add(teams, team, count, 0.0)
+    for run in open_runs:
+        for team, item in run.teams.items():
+            _add(teams, team, item.count, item.missing)
     return teams
+
+
+def _add(teams, team, count, missing):
+    known = teams.get(team, TeamTotal(0, 0.0, 0.0))
+    teams[team] = TeamTotal(
+        known.count + count,
+        known.missing + missing,
+        known.most_missing + (max(1.0, missing) if missing > 0 else 0.0),
+    )
--- a/src/geraniumridge/_internal/proxy/usage/collection.py
+++ b/src/geraniumridge/_internal/proxy/usage/collection.py
@@ -14,6 +14,7 @@
 from geraniumridge._internal.decisions.usage import clock as clocks
 from geraniumridge._internal.decisions.usage import completeness
 from geraniumridge._internal.decisions.usage import counter
+from geraniumridge._internal.decisions.usage import member_runs
 from geraniumridge._internal.decisions.usage import merging
 from geraniumridge._internal.decisions.usage import reports
 from geraniumridge._internal.decisions.usage import teams
@@ -116,6 +117,7 @@
         self._started_at = clock.now()
         self._counted_at = -math.inf
         self._sequences = itertools.count(1)
+        self._member_runs = member_runs.MemberRuns()
         self._collected = merging.CollectedCounts(self._settings.window_s)
         self._count_parts = merging.PartAssembler()
         self._sum_parts = merging.PartAssembler()
@@ -216,9 +218,12 @@
         state = self._node.view.state
         if state is not None:
             self._teams.update(state.teams, now)
+        self._member_runs.update(self._node.view.members, now)
         self._counter.update(now)
         if not self._clock.is_settled:
             return
+        kept_s = (self._retained_windows + 1) * self._clock.window_s
+        self._member_runs.forget_before(now - kept_s)
         oldest = self._find_oldest(now)
         self._collected.forget_before(oldest)
         self._received.forget_before(oldest)
@@ -506,8 +511,8 @@
             return reports.SkippedWindow(window, reports.TOO_LATE)
         end = self._clock.get_end(window)
         is_last_chance = now >= self._get_decision_time(end)
-        vms = self._list_vms(end - self._clock.window_s, end)
-        if vms is None:
+        begin = end - self._clock.window_s
+        if self._node.view.roster.list_member_sets(begin) is None:
             return reports.SkippedWindow(window, reports.BEFORE_START)
         if not self._is_clock_steady(end):
             return reports.SkippedWindow(window, reports.CLOCK_MOVED)
@@ -515,7 +520,8 @@
             if is_last_chance:
                 return reports.SkippedWindow(window, reports.NO_MEMBERS)
             return None
-        verdict = self._received.judge(window, vms)
+        registered = self._member_runs.list_between(begin, end)
+        verdict = self._received.judge(window, registered)
         if verdict.completeness is completeness.Completeness.COMPLETE:
             return reports.UsageReport(window, verdict.counts)
         if not is_last_chance:
@@ -555,15 +561,6 @@
         is_near = self._clock.deviation_s <= allowed * self._clock.window_s
         return is_near and begin >= self._clock.steady_since
 
-    def _list_vms(self, begin, end):
-        """Return the VMs registered between two times, None if unknown."""
-        roster = self._node.view.roster
-        since_begin = roster.list_member_sets(begin)
-        since_end = roster.list_member_sets(end)
-        if since_begin is None or since_end is None:
-            return None
-        return frozenset().union(*since_begin[len(since_end) - 1 :])
-
     # Received messages
 
     def _is_acceptable(self, message):
--- a/tests/functional/test_proxy_usage.py
+++ b/tests/functional/test_proxy_usage.py
@@ -257,3 +257,24 @@
             assert result == reports.UsageReport(later, {"team": 7})
 
     trio.run(main)
+
+
+def test_counts_of_a_vm_that_stops_gracefully_are_reported():
+    """It sends them before it leaves, and does not hold up the report."""
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            running = await start_two_domains(cluster)
+            reporter = running[0].proxy.usage_collection
+            window = await wait_window_begins(reporter)
+            await run_reads(cluster, running[3], 30)
+            await run_reads(cluster, running[1], 5)
+            await running[3].proxy._drain()
+            running[3].stop()
+            assert reporter.clock.get_window(clock.now()) == window
+            result = await wait_result(reporter, window)
+            assert result == reports.UsageReport(window, {"team": 35})
+            decided_at = reporter.clock.get_end(window) + USAGE.late_s / 4
+            assert clock.now() < decided_at
+
+    trio.run(main)
--- a/tests/lib/usage_fleet.py
+++ b/tests/lib/usage_fleet.py
@@ -206,6 +206,7 @@
         self.reporter = "vm-0"
         self.ports = collections.defaultdict(itertools.count(1).__next__)
         self.vms = {}
+        self.killed = 0
         self.requests = []
         self.sent_messages = collections.Counter()
         self.sent_bytes = collections.Counter()
@@ -240,6 +241,7 @@
         """Kill a VM; its registration lasts for the lease."""
         vm = self.vms[name]
         vm.kill()
+        self.killed += 1
         self.nursery.start_soon(self._expire, vm)
 
     async def _expire(self, vm):
