Read the settings of usage reports

The platform's settings may have bounds.reportWindowS and three more fields.

The template's test rendered every section; it now leaves out sections without a value and checks the rendered settings with and without usage. Its former assertions are kept.

--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -11,7 +11,11 @@
 from geraniumridge._internal.models import settings
 from geraniumridge._internal.utils import codec
 
+MAX_USAGE_S = 86_400
+"""Largest time in `UsageSettings`, a day; also refuses infinity."""
+
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+UsageSeconds = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_USAGE_S)]
 
 
 class VmSettings(typing.NamedTuple):
@@ -66,8 +70,25 @@
     limit_slack: settings.NonNegativeFloat = 0.0
 
 
+class UsageSettings(typing.NamedTuple):
+    """Usage reports; all times in seconds.
+
+    A window is `window_s` long and its report is due `late_s` after its end.
+    `tolerance` is the tolerated relative error of a team's count. Two
+    holders may not send reports in the order A, B, A within `lease_s`.
+    """
+
+    window_s: UsageSeconds
+    tolerance: typing.Annotated[float, msgspec.Meta(gt=0, lt=1)]
+    late_s: UsageSeconds
+    lease_s: UsageSeconds
+
+
 class ProxySettings(typing.NamedTuple):
-    """All settings; `regions` maps failure domains to regions."""
+    """All settings; `regions` maps failure domains to regions.
+
+    Without `usage` nothing is counted or reported.
+    """
 
     vm: VmSettings
     listen: ListenSettings
@@ -75,6 +96,7 @@
     bounds: BoundSettings = BoundSettings()
     regions: dict[str, str] = {}
     log: settings.LogSettings = settings.LogSettings()
+    usage: UsageSettings | None = None
 
     @property
     def peer_address(self):
--- a/tests/unit/models/test_proxy_settings.py
+++ b/tests/unit/models/test_proxy_settings.py
@@ -61,32 +61,99 @@
     assert "none: cannot be read" in str(caught.value)
 
 
-def test_deployment_template_sets_only_known_keys(tmp_path):
-    values = {
-        "node|json": '"vm-1"',
-        "zone|json": '"north"',
-        "ip|json": '"10.0.0.1"',
-        "ip": "10.0.0.1",
-        "internalPorts.0": "7000",
-        "internalPorts.1": "7010",
-        "bounds.graceS": "6",
-        "bounds.revokeMs": "5000",
-        "platform.ttlMinMs": "1000",
-        "bounds.drainMs": "7000",
-        "bounds.quotaSlack": "20",
-        "#bounds.quotaSlack": "",
-        "/bounds.quotaSlack": "",
-        "#zones": "",
-        "/zones": "",
-        "@": "north",
-        ".|json": '"east"',
-    }
+USAGE = """
+[usage]
+window_s = 5
+tolerance = 0.05
+late_s = 10
+lease_s = 3000e-3
+"""
+
+
+def test_usage_settings_are_absent_by_default(tmp_path):
+    assert load(tmp_path, GOOD).usage is None
+
+
+def test_usage_settings_load(tmp_path):
+    found = load(tmp_path, GOOD + USAGE).usage
+    assert found == proxy_settings.UsageSettings(5.0, 0.05, 10.0, 3.0)
+
+
+@pytest.mark.parametrize("name", proxy_settings.UsageSettings._fields)
+def test_usage_settings_are_refused_unless_all_are_set(tmp_path, name):
+    kept = [line for line in USAGE.split("\n") if not line.startswith(name)]
+    with pytest.raises(exceptions.SettingsError) as caught:
+        load(tmp_path, GOOD + "\n".join(kept))
+    assert f"usage.{name}: Missing" in str(caught.value)
+
+
+@pytest.mark.parametrize("name", proxy_settings.UsageSettings._fields)
+@pytest.mark.parametrize("value", ["0", "-1", '"5"', "nan", "inf"])
+def test_usage_settings_are_refused_unless_positive(tmp_path, name, value):
+    lines = [
+        f"{name} = {value}" if line.startswith(name) else line
+        for line in USAGE.split("\n")
+    ]
+    with pytest.raises(exceptions.SettingsError) as caught:
+        load(tmp_path, GOOD + "\n".join(lines))
+    assert f"usage.{name}" in str(caught.value)
+
+
+TEMPLATE_VALUES = {
+    "node|json": '"vm-1"',
+    "zone|json": '"north"',
+    "ip|json": '"10.0.0.1"',
+    "ip": "10.0.0.1",
+    "internalPorts.0": "7000",
+    "internalPorts.1": "7010",
+    "bounds.graceS": "6",
+    "bounds.revokeMs": "5000",
+    "platform.ttlMinMs": "1000",
+    "bounds.drainMs": "7000",
+    "bounds.quotaSlack": "20",
+    "#zones": "",
+    "/zones": "",
+    "@": "north",
+    ".|json": '"east"',
+}
+USAGE_VALUES = {
+    "bounds.reportWindowS": "5",
+    "bounds.usageTolerance": "0.05",
+    "bounds.usageLateS": "10",
+    "bounds.leaseMs": "3000",
+}
+
+
+def render(values):
+    """Return the template with values, and only the sections that have one."""
     text = re.sub(
+        r"\{\{#(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}",
+        lambda match: match[2] if match[1] in values else "",
+        TEMPLATE.read_text(),
+        flags=re.DOTALL,
+    )
+    return re.sub(
         r"\{\{(.*?)\}\}",
         lambda match: values.get(match[1], '"10.0.0.1:1"'),
-        TEMPLATE.read_text(),
+        text,
     )
-    found = load(tmp_path, text)
+
+
+def test_deployment_template_sets_only_known_keys(tmp_path):
+    found = load(tmp_path, render(TEMPLATE_VALUES))
     assert found.regions == {"north": "east"}
     assert found.bounds.withdrawal_ms == 5000
     assert found.bounds.limit_slack == 20
+    assert found.usage is None
+
+
+def test_deployment_template_sets_usage_if_the_platform_asks(tmp_path):
+    found = load(tmp_path, render({**TEMPLATE_VALUES, **USAGE_VALUES}))
+    assert found.usage == proxy_settings.UsageSettings(5.0, 0.05, 10.0, 3.0)
+    assert found.regions == {"north": "east"}
+
+
+def test_deployment_template_with_a_part_of_usage_is_refused(tmp_path):
+    values = {**TEMPLATE_VALUES, **USAGE_VALUES, "bounds.usageLateS": ""}
+    with pytest.raises(exceptions.SettingsError):
+        load(tmp_path, render(values))
