--- a/src/geraniumridge/_internal/proxy/promotion_sender.py
+++ b/src/geraniumridge/_internal/proxy/promotion_sender.py
@@ -3,12 +3,10 @@
 import enum
 import logging
 
-import trio
-
 from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import fleet
-from geraniumridge._internal.ports import store as store_port
+from geraniumridge._internal.proxy import recorded_call
 from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
@@ -46,15 +44,17 @@
 
     def __init__(self, node, store, promoter, group, fence):
         self._node = node
-        self._store = store
         self._promoter = promoter
         self._group = group
         self._fence = fence
-        self._lead_key = fleet.make_lead_key(group)
+        self._recorder = recorded_call.FencedRecorder(
+            store, fleet.make_lead_key(group), fence
+        )
         self._order_key = fleet.make_order_key(group)
         self._result = promotion_orders.SendResult()
         self._outcome = None
         self._order_revision = None
+        self._recorded_at = None
 
     @property
     def outcome(self):
@@ -88,36 +88,38 @@
 
     async def _send(self, target_id, may_send):
         """Connect, record the order and send it; return the `Outcome`."""
+        order = fleet.PromotionOrder(
+            target_id, self._fence, self._node.settings.vm.name
+        )
+
+        def find_obstacle():
+            if not may_send():
+                return "no longer allowed"
+            delay_s = clock.now() - self._recorded_at
+            if delay_s > promotion_orders.MAX_SEND_DELAY_S:
+                return f"recorded {delay_s:.1f} s ago"
+            return None
+
         try:
-            call = await self._promoter.connect()
-        except exceptions.NetworkError as error:
+            return await recorded_call.send(
+                self._promoter.connect,
+                lambda: self._record(order),
+                find_obstacle,
+                lambda call: self._send_recorded(call, order),
+            )
+        except recorded_call.NotSentError as error:
             return self._log_outcome(
                 Outcome.NOT_SENT, target_id, why=str(error)
             )
-        try:
-            order = fleet.PromotionOrder(
-                target_id, self._fence, self._node.settings.vm.name
-            )
-            recorded_at = clock.now()
-            why = await self._record(order)
-            if why is None and not may_send():
-                why = "no longer allowed"
-            delay_s = clock.now() - recorded_at
-            if why is None and delay_s > promotion_orders.MAX_SEND_DELAY_S:
-                why = f"recorded {delay_s:.1f} s ago"
-            if why is not None:
-                return self._log_outcome(Outcome.NOT_SENT, target_id, why=why)
-            return await self._send_recorded(call, order)
-        finally:
-            with trio.CancelScope(shield=True):
-                await call.close()
 
     async def _record(self, order):
         """Record an order; return why that failed, or None."""
-        write = store_port.Write(self._order_key, fleet.encode_record(order))
+        # The delay counts from the request, as the record may take effect
+        # long before its answer.
+        self._recorded_at = clock.now()
         try:
-            self._order_revision = await self._store.commit(
-                {self._lead_key: self._fence}, [write]
+            self._order_revision = await self._recorder.record(
+                self._order_key, fleet.encode_record(order)
             )
         except exceptions.PlatformError as error:
             return str(error) or type(error).__name__
@@ -156,12 +158,8 @@
         """
         if self._result.answered < self._result.sent:
             return
-        expected = {
-            self._lead_key: self._fence,
-            self._order_key: self._order_revision,
-        }
         try:
-            await self._store.commit(expected, deletes=[self._order_key])
+            await self._recorder.remove(self._order_key, self._order_revision)
         except exceptions.PlatformError as error:
             self._log("refused order not removed", None, why=str(error))
 
