Report the usage of each window by one VM

Windows have to be reported once, never with two different counts, by one VM at a time. The reporter holds a key of the store under a lease of its own; the key's revision is its fencing token. It records each report under its fence before it sends it, checks its lease right before each call, and repeats what is recorded until it is answered or overdue by as long again.

Ruled out: the VM's own lease, which neighbours renew while the store does not answer the VM; a mark for answered reports, which costs a write for each.

--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Usage reports: counting, true time, and the holder that sends them."""
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -82,6 +82,7 @@
         self._lead_revisions = {}
         self._acknowledgements = {}
         self._orders = {}
+        self._usage_records = {}
         self._expiry_deadlines = {}
         self._removed_targets = {}
         self._restart_times = {}
@@ -209,6 +210,17 @@
         """Return a group's `SeenOrder`, or None."""
         return self._orders.get(group)
 
+    @property
+    def usage_reporter(self):
+        """The `fleet.UsageReporter`, or None."""
+        entry = self._entries.get(fleet.USAGE_REPORTER_KEY)
+        return entry.record if entry else None
+
+    @property
+    def usage_records(self):
+        """The `fleet.UsageRecord` of each recorded window."""
+        return self._usage_records
+
     def list_acknowledgements(self, group):
         """Return the acknowledgements of a group's failovers, by VM."""
         return self._acknowledgements.get(group, {})
@@ -332,6 +344,10 @@
         elif isinstance(record, fleet.PromotionOrder):
             group = fleet.parse_order_group(item.key)
             self._orders[group] = SeenOrder(record, now)
+        elif isinstance(record, fleet.UsageRecord):
+            window = fleet.parse_usage_window(item.key)
+            if window is not None:
+                self._usage_records[window] = record
         elif isinstance(record, fleet.TargetSet):
             group = fleet.parse_targets_group(item.key)
             self._note_departed_targets(now, group, record)
@@ -366,6 +382,8 @@
             self._acknowledgements.get(group, {}).pop(record.vm, None)
         elif isinstance(record, fleet.PromotionOrder):
             self._orders.pop(fleet.parse_order_group(key), None)
+        elif isinstance(record, fleet.UsageRecord):
+            self._usage_records.pop(fleet.parse_usage_window(key), None)
 
     def _note_restart(self, now, target):
         known = self._targets.get(target.id) or self.find_departed(target.id)
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -18,11 +18,17 @@
 """Prefix of the acknowledgements; the store keeps the older word."""
 TARGETS_PREFIX = "geraniumridge/targets/"
 ORDERS_PREFIX = "geraniumridge/orders/"
+USAGE_REPORTER_KEY = "geraniumridge/usage/reporter"
+USAGE_RECORDS_PREFIX = "geraniumridge/usage/windows/"
 
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 """A term or revision; larger ones come from a broken writer."""
 
+MAX_WINDOW_DIGITS = 15
+"""Digits of the largest window that a key may name; more come from a broken
+writer."""
+
 
 class Lead(typing.NamedTuple):
     """Leadership record of a group: its primary, or a failover.
@@ -97,6 +103,44 @@
 becomes primary."""
 
 
+class UsageReporter(typing.NamedTuple):
+    """The VM that reports the usage, under a lease of its own.
+
+    The revision of this record is the reporter's fencing token.
+    """
+
+    vm: str
+    boot: str
+    lease: Count
+
+
+UNREADABLE_USAGE_REPORTER = UsageReporter("", "", 0)
+"""Stands for a reporter that cannot be decoded: no VM takes its place until
+its lease should have ended."""
+
+
+class UsageRecord(typing.NamedTuple):
+    """The report of one window, recorded before it is sent.
+
+    `fence` is the fencing token of the reporter that recorded it and `holder`
+    its VM. `counts` are the requests of each team.
+    """
+
+    fence: Count
+    holder: str
+    counts: dict[str, Count]
+
+    @property
+    def is_readable(self):
+        """Whether this is not `UNREADABLE_USAGE_RECORD`."""
+        return bool(self.holder)
+
+
+UNREADABLE_USAGE_RECORD = UsageRecord(0, "", {})
+"""Stands for the record of a window that cannot be decoded: the window is
+neither sent nor recorded again."""
+
+
 class TargetSet(typing.NamedTuple):
     """All targets of a group that may hold acknowledged commits.
 
@@ -151,12 +195,28 @@
     return key.removeprefix(ORDERS_PREFIX)
 
 
+def make_usage_key(window):
+    """Return the store's key of a window's `UsageRecord`."""
+    return f"{USAGE_RECORDS_PREFIX}{window}"
+
+
+def parse_usage_window(key):
+    """Return the window that a key belongs to, or None if it names none."""
+    text = key.removeprefix(USAGE_RECORDS_PREFIX)
+    is_number = text.isascii() and text.isdigit()
+    if not is_number or len(text) > MAX_WINDOW_DIGITS:
+        return None
+    return int(text) if str(int(text)) == text else None
+
+
 RECORD_TYPES = {
     LEADS_PREFIX: Lead,
     MEMBERS_PREFIX: Member,
     ACKNOWLEDGEMENTS_PREFIX: Acknowledgement,
     TARGETS_PREFIX: TargetSet,
     ORDERS_PREFIX: PromotionOrder,
+    USAGE_REPORTER_KEY: UsageReporter,
+    USAGE_RECORDS_PREFIX: UsageRecord,
 }
 """Type of the records under each key prefix."""
 
@@ -194,6 +254,10 @@
         return UNREADABLE_LEAD
     if key.startswith(ORDERS_PREFIX):
         return UNREADABLE_ORDER
+    if key == USAGE_REPORTER_KEY:
+        return UNREADABLE_USAGE_REPORTER
+    if key.startswith(USAGE_RECORDS_PREFIX):
+        return UNREADABLE_USAGE_RECORD
     return None
 
 
@@ -206,6 +270,11 @@
         group = parse_acknowledgement_group(key)
         if key != make_acknowledgement_key(group, record.vm):
             problems.append("vm: Does not match the key")
+    if isinstance(record, UsageRecord):
+        if not record.holder:
+            problems.append("holder: Is empty")
+        if parse_usage_window(key) is None:
+            problems.append("window: The key names none")
     for address in _list_addresses(record):
         try:
             addresses.check_ip_address(address)
--- a/src/geraniumridge/_internal/network/http.py
+++ b/src/geraniumridge/_internal/network/http.py
@@ -322,6 +322,20 @@
             self._is_usable = True
         return response
 
+    def drop_undelivered(self, timeout_s):
+        """Let the kernel drop what the server does not receive in time.
+
+        Sent bytes are otherwise repeated for minutes, also after `close`,
+        which resets the connection from now on. The timeout applies even
+        while the process is suspended.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time that sent bytes may remain unacknowledged.
+        """
+        streams.drop_undelivered(self._stream, timeout_s)
+
     async def close(self):
         """Close the connection at once."""
         self._is_usable = False
--- a/src/geraniumridge/_internal/network/streams.py
+++ b/src/geraniumridge/_internal/network/streams.py
@@ -1,6 +1,8 @@
 """TCP streams, with TLS if it is configured."""
 
+import socket
 import ssl
+import struct
 
 import trio
 
@@ -10,6 +12,9 @@
 CONNECT_TIMEOUT_S = 1.0
 """Default timeout of a connection attempt, TLS handshake included."""
 
+ZERO_LINGER = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` value with which closing resets the connection."""
+
 _source_host = trio.lowlevel.RunVar("source_host", default=None)
 
 
@@ -93,6 +98,22 @@
         raise exceptions.NotSentError(f"{address}: cannot connect: {error}")
 
 
+def drop_undelivered(stream, timeout_s):
+    """Bound the time in which the kernel delivers what a stream sends.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        Open connection without TLS; it is reset when it is closed.
+    timeout_s : float
+        Longest time that sent bytes may remain unacknowledged.
+    """
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER)
+    stream.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_s * 1000)
+    )
+
+
 async def serve(nursery, address, handler, tls=None):
     """Listen on an address and call the handler for each connection.
 
--- a/src/geraniumridge/_internal/ports/targets.py
+++ b/src/geraniumridge/_internal/ports/targets.py
@@ -1,4 +1,4 @@
-"""Interfaces of database targets and of their promotion.
+"""Interfaces of database targets, their promotion and usage reports.
 
 The proxy on the users' platform uses them.
 """
@@ -114,3 +114,29 @@
 
         Raises `exceptions.NotSentError` if the platform is out of reach.
         """
+
+
+class UsageCall(typing.Protocol):
+    """Open connection to the platform for one usage report."""
+
+    async def send(self, report, holder, fence):
+        """Send a report at once and wait until the platform has taken it.
+
+        `report` is a `reports.UsageReport`, `holder` the VM's name and
+        `fence` its fencing token. Raises `exceptions.TargetRefusedError`
+        if the platform answers with an error, and
+        `exceptions.PlatformUnavailableError` without an answer.
+        """
+
+    async def close(self):
+        """Reset the connection; undelivered bytes are dropped."""
+
+
+class UsageReceiver(typing.Protocol):
+    """Client that sends usage reports to the platform."""
+
+    async def connect(self):
+        """Return an open `UsageCall`.
+
+        Raises `exceptions.NotSentError` if the platform is out of reach.
+        """
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -20,6 +20,7 @@
 from geraniumridge._internal.proxy import session
 from geraniumridge._internal.proxy import suspicion_exchange
 from geraniumridge._internal.proxy import target_recorder
+from geraniumridge._internal.proxy.usage import reporting
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
 from geraniumridge._internal.utils import supervision
@@ -63,9 +64,23 @@
         The platform's store.
     promoter : ports.targets.Promoter
         Client that promotes the next primary of a group.
+    usage_receiver : ports.targets.UsageReceiver, optional
+        Client that reports the usage.
+    make_usage_collection : callable, optional
+        Returns, for the node and its `network.datagrams.Peers`, the collected
+        counts, whose `clock` has the windows by true time; see
+        `proxy.usage.reporting`. Without it, or without the settings of usage
+        reports, nothing is reported.
     """
 
-    def __init__(self, node, store, promoter):
+    def __init__(
+        self,
+        node,
+        store,
+        promoter,
+        usage_receiver=None,
+        make_usage_collection=None,
+    ):
         self._node = node
         self._view_changed = trio.Event()
         self._is_stopping = False
@@ -104,6 +119,12 @@
         node.position_exchange = position_exchange.PositionExchange(
             node, self._peers
         )
+        self._usage_reporting = None
+        if node.settings.usage is not None and make_usage_collection:
+            collection = make_usage_collection(node, self._peers)
+            self._usage_reporting = reporting.UsageReporting(
+                node, store, usage_receiver, collection, collection.clock
+            )
         self._quorum_exchange = quorum_exchange.QuorumExchange(
             node, self._peers
         )
@@ -134,6 +155,8 @@
             self._close_unused_connections,
         ):
             self._supervisor.keep_running(task)
+        if self._usage_reporting is not None:
+            self._usage_reporting.start(self._supervisor)
 
     async def open_session(self, database, key):
         """Return a new session and None, or None and the refusal."""
@@ -206,6 +229,8 @@
             began_at + grace_s * STATEMENT_GRACE_SHARE
         )
         with trio.move_on_after(CHECK_INTERVAL_S * 5):
+            if self._usage_reporting is not None:
+                await self._usage_reporting.leave()
             await self._membership.leave()
         self._node.pools.close_idle()
 
--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -16,10 +16,10 @@
 from geraniumridge._internal.models import proxy_settings
 from geraniumridge._internal.proxy import daemon
 from geraniumridge._internal.proxy import node
+from geraniumridge_platform import duties_client
 from geraniumridge_platform import frontend
 from geraniumridge_platform import instances
 from geraniumridge_platform import kv
-from geraniumridge_platform import promotion_client
 from geraniumridge_platform import records
 from standins import duties
 from standins import kvstore
@@ -250,7 +250,7 @@
         self.proxy = daemon.Proxy(
             self.node,
             self.store_client,
-            promotion_client.PromotionClient(settings.platform.duties),
+            duties_client.PromotionClient(settings.platform.duties),
         )
         self._cancel_scope = trio.CancelScope()
         self.ended = trio.Event()
