--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -105,13 +105,19 @@
 
 
 class Cluster:
-    """Platform with one group of three instances, and its proxies."""
+    """Platform with one group of three instances, and its proxies.
+
+    `usage` has the `proxy_settings.UsageSettings` of proxies that start
+    later, None for none; `make_usage_collection` makes their collections.
+    """
 
     def __init__(self, nursery):
         self.nursery = nursery
         self.store = kvstore.KvStore()
         self.group = linegroup.Group("ledger")
         self.promotion_server = duties.PromotionServer([self.group])
+        self.usage = None
+        self.make_usage_collection = None
         self._store_address = find_address()
         self._promotion_server_address = find_address()
 
@@ -145,6 +151,7 @@
             ),
             bounds=proxy_settings.BoundSettings(limit_slack=20.0),
             regions={domain: "east" for domain in DOMAINS},
+            usage=self.usage,
         )
 
     async def add_proxy(self, name="vm-1", domain="north"):
@@ -251,6 +258,8 @@
             self.node,
             self.store_client,
             duties_client.PromotionClient(settings.platform.duties),
+            duties_client.UsageClient(settings.platform.duties),
+            cluster.make_usage_collection,
         )
         self._cancel_scope = trio.CancelScope()
         self.ended = trio.Event()
--- a/tests/unit/proxy/test_usage_reporting.py
+++ b/tests/unit/proxy/test_usage_reporting.py
@@ -447,6 +447,59 @@
     assert not world.ledger.violations
 
 
+def freeze_while_recording(reporters):
+    """Freeze the holder before its record reaches the store.
+
+    Returns
+    -------
+    tuple
+        The VM and the window.
+    """
+    world = reporters.world
+    while not world.ledger.calls:
+        reporters.run(set(VMS), 1, CARRIED_OUT)
+    holder = find_holder(reporters)
+    commits = []
+    commit = holder.reporting._recorder._store.commit
+
+    async def note_commit(expected, writes=(), deletes=()):
+        commits.append(writes[0].key)
+        return await commit(expected, writes, deletes)
+
+    holder.reporting._recorder._store.commit = note_commit
+    while not commits:
+        world.advance(0.1)
+        holder.sync()
+        holder.resume("check", CARRIED_OUT)
+        if not commits:
+            holder.resume("renew", CARRIED_OUT)
+    return holder, fleet.parse_usage_window(commits[0])
+
+
+def test_record_that_arrives_after_a_takeover_is_not_written(reporters):
+    """Guards against a former holder's counts beside its successor's."""
+    holder, window = freeze_while_recording(reporters)
+    others = set(VMS) - {holder.name}
+    world = reporters.world
+    while find_holder(reporters) in (None, holder):
+        reporters.run(others, 1, CARRIED_OUT)
+    while holder.tasks.get("check"):
+        holder.resume("check", CARRIED_OUT)
+    assert fleet.make_usage_key(window) not in world.items
+    reporters.run(set(VMS), 100, CARRIED_OUT)
+    assert not world.ledger.violations
+
+
+def test_record_of_another_is_not_replaced(reporters):
+    """Guards against two reports of a window while a view lags behind."""
+    holder, window = freeze_while_recording(reporters)
+    other = fleet.UsageRecord(1, "vm-9", {"a": 99})
+    put_odd(reporters, window, other)
+    while not reporters.world.ledger.counts.get(window):
+        reporters.run(set(VMS), 1, CARRIED_OUT)
+    assert reporters.world.ledger.counts[window] == {"a": 99}
+
+
 def test_holder_without_the_store_stops_before_its_lease_ends(reporters):
     world = reporters.world
     while not world.ledger.calls:
