--- a/tests/functional/test_proxy_odd_entries.py
+++ b/tests/functional/test_proxy_odd_entries.py
@@ -57,6 +57,8 @@
     MEMBER_KEY,
     fleet.make_acknowledgement_key("ledger", "ghost"),
     fleet.make_acknowledgement_key("ledger", "vm-1"),
+    fleet.USAGE_REPORTER_KEY,
+    fleet.make_usage_key(7),
 )
 WELL_FORMED = [
     *[
--- a/tests/unit/decisions/test_view.py
+++ b/tests/unit/decisions/test_view.py
@@ -243,3 +243,17 @@
     assert made.get_order("ledger").seen_at == 7.0
     made.apply(8.0, store.Changes((store.Item(key, None, 3),), 3))
     assert made.get_order("ledger") is None
+
+
+def test_usage_records_are_seen_by_window_until_they_are_deleted():
+    made = view.View(lambda key, value: value)
+    record = fleet.UsageRecord(4, "vm-1", {"a": 1})
+    keys = [fleet.make_usage_key(7), fleet.USAGE_RECORDS_PREFIX + "odd"]
+    for revision, key in enumerate(keys, 1):
+        item = store.Item(key, record, revision)
+        made.apply(0.0, store.Changes((item,), revision))
+    assert made.usage_records == {7: record}
+    for revision, key in enumerate(keys, 3):
+        item = store.Item(key, None, revision)
+        made.apply(0.0, store.Changes((item,), revision))
+    assert made.usage_records == {}
--- a/tests/unit/platform/test_records.py
+++ b/tests/unit/platform/test_records.py
@@ -94,6 +94,14 @@
             fleet.make_order_key("g"),
             fleet.PromotionOrder("i-1", 9, "vm"),
         ),
+        (
+            fleet.USAGE_REPORTER_KEY,
+            fleet.UsageReporter("vm", "b", 4),
+        ),
+        (
+            fleet.make_usage_key(353445120),
+            fleet.UsageRecord(9, "vm", {"bode960": 412, "vocu161": 0}),
+        ),
     ],
 )
 def test_own_records_round_trip(key, record):
@@ -140,3 +148,20 @@
     data = {"vm": "vm-1", "revision": 3}
     key = fleet.make_acknowledgement_key("g", "vm-2")
     assert decode(key, data) is None
+
+
+@pytest.mark.parametrize(
+    "window", ["", "-1", "1.5", "01", "x", "9" * 16, "1/2", "\u0661"]
+)
+def test_usage_record_whose_key_names_no_window_is_unreadable(window):
+    record = fleet.UsageRecord(9, "vm", {"a": 1})
+    key = f"{fleet.USAGE_RECORDS_PREFIX}{window}"
+    assert fleet.parse_usage_window(key) is None
+    found = decode(key, record._asdict())
+    assert found is fleet.UNREADABLE_USAGE_RECORD
+    assert not found.is_readable
+
+
+def test_unreadable_usage_reporter_still_holds_its_key():
+    found = records.decode_record(fleet.USAGE_REPORTER_KEY, b"{")
+    assert found is fleet.UNREADABLE_USAGE_REPORTER
