--- a/src/geraniumridge/_internal/decisions/usage/__init__.py
+++ b/src/geraniumridge/_internal/decisions/usage/__init__.py
@@ -1,1 +1,1 @@
-"""Counting of usage, and decisions about its reports."""
+"""Usage reports: counting, true time, and the holder that sends them."""
--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -11,7 +11,11 @@
 from geraniumridge._internal.models import settings
 from geraniumridge._internal.utils import codec
 
+MAX_USAGE_S = 86_400
+"""Largest time in `UsageSettings`, a day; also refuses infinity."""
+
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+UsageSeconds = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_USAGE_S)]
 
 
 class VmSettings(typing.NamedTuple):
@@ -67,24 +71,23 @@
 
 
 class UsageSettings(typing.NamedTuple):
-    """Settings of the usage reports.
+    """Usage reports; all times in seconds.
 
-    A window lasts `window_s` seconds and its report is due `late_s`
-    seconds after its end. `tolerance` is the tolerated relative error of
-    a team's count. `lease_s` is the least lease of the reporter, in
-    seconds.
+    A window is `window_s` long and its report is due `late_s` after its end.
+    `tolerance` is the tolerated relative error of a team's count. Two
+    holders may not send reports in the order A, B, A within `lease_s`.
     """
 
-    window_s: float
-    tolerance: float
-    late_s: float
-    lease_s: float
+    window_s: UsageSeconds
+    tolerance: typing.Annotated[float, msgspec.Meta(gt=0, lt=1)]
+    late_s: UsageSeconds
+    lease_s: UsageSeconds
 
 
 class ProxySettings(typing.NamedTuple):
     """All settings; `regions` maps failure domains to regions.
 
-    `usage` is None where no usage is reported.
+    Without `usage` nothing is counted or reported.
     """
 
     vm: VmSettings
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -24,6 +24,7 @@
 from geraniumridge._internal.proxy import suspicion_exchange
 from geraniumridge._internal.proxy import target_recorder
 from geraniumridge._internal.proxy.usage import collection
+from geraniumridge._internal.proxy.usage import reporting
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
 from geraniumridge._internal.utils import supervision
@@ -70,9 +71,22 @@
         The platform's store.
     promoter : ports.targets.Promoter
         Client that promotes the next primary of a group.
+    usage_receiver : ports.targets.UsageReceiver, optional
+        Client that reports the usage. Without it, or without the settings of
+        usage reports, nothing is reported.
+    make_usage_collection : callable, optional
+        Returns the counts that are reported, for the node and its
+        `network.datagrams.Peers`; see `proxy.usage.collection`.
     """
 
-    def __init__(self, node, store, promoter):
+    def __init__(
+        self,
+        node,
+        store,
+        promoter,
+        usage_receiver=None,
+        make_usage_collection=collection.Collection,
+    ):
         self._node = node
         self._view_changed = trio.Event()
         self._is_stopping = False
@@ -121,11 +135,21 @@
             node, self._peers
         )
         self.usage_collection = None
+        self._usage_reporting = None
         if node.settings.usage is None:
             collection.ignore_messages(self._peers)
         else:
-            self.usage_collection = collection.Collection(node, self._peers)
-            node.usage_counter = self.usage_collection.counter
+            self._prepare_usage(store, usage_receiver, make_usage_collection)
+
+    def _prepare_usage(self, store, receiver, make_collection):
+        """Make the parts that count requests and report them."""
+        counts = make_collection(self._node, self._peers)
+        self.usage_collection = counts
+        self._node.usage_counter = counts.counter
+        if receiver is not None:
+            self._usage_reporting = reporting.UsageReporting(
+                self._node, store, receiver, counts, counts.clock
+            )
 
     @property
     def is_stopping(self):
@@ -157,6 +181,8 @@
             self._supervisor.keep_running(task)
         if self.usage_collection is not None:
             self.usage_collection.start(self._supervisor)
+        if self._usage_reporting is not None:
+            self._usage_reporting.start(self._supervisor)
 
     async def open_session(self, database, key):
         """Return a new session and None, or None and the refusal."""
@@ -235,6 +261,8 @@
             with trio.move_on_after(USAGE_GRACE_S):
                 await self.usage_collection.finish()
         with trio.move_on_after(CHECK_INTERVAL_S * 5):
+            if self._usage_reporting is not None:
+                await self._usage_reporting.leave()
             await self._membership.leave()
         self._node.pools.close_idle()
 
--- a/src/geraniumridge/_internal/proxy/usage/__init__.py
+++ b/src/geraniumridge/_internal/proxy/usage/__init__.py
@@ -1,1 +1,1 @@
-"""Exchange of usage counts between the VMs."""
+"""Usage reports: collection of the counts, and the tasks that report."""
--- a/tests/lib/proxies.py
+++ b/tests/lib/proxies.py
@@ -17,10 +17,10 @@
 from geraniumridge._internal.models import proxy_settings
 from geraniumridge._internal.proxy import daemon
 from geraniumridge._internal.proxy import node
+from geraniumridge_platform import duties_client
 from geraniumridge_platform import frontend
 from geraniumridge_platform import instances
 from geraniumridge_platform import kv
-from geraniumridge_platform import promotion_client
 from geraniumridge_platform import records
 from standins import duties
 from standins import kvstore
@@ -106,7 +106,12 @@
 
 
 class Cluster:
-    """Platform with one group of three instances, and its proxies."""
+    """Platform with one group of three instances, and its proxies.
+
+    `usage` has the `proxy_settings.UsageSettings` of proxies that start
+    later, None for none. If `make_usage_collection` is set, it makes their
+    collections, and the proxies report.
+    """
 
     def __init__(self, nursery):
         self.nursery = nursery
@@ -114,6 +119,8 @@
         self.group = linegroup.Group("ledger")
         self.promotion_server = duties.PromotionServer([self.group])
         self.regions = {domain: "east" for domain in DOMAINS}
+        self.usage = None
+        self.make_usage_collection = None
         self._store_address = find_address()
         self._promotion_server_address = find_address()
 
@@ -147,6 +154,7 @@
             ),
             bounds=proxy_settings.BoundSettings(limit_slack=20.0),
             regions=self.regions,
+            usage=self.usage,
         )
 
     async def add_proxy(self, name="vm-1", domain="north"):
@@ -249,10 +257,19 @@
             self.dialect,
         )
         self.store_client = PartitionableStoreClient(settings.platform.store)
+        reporting = {}
+        if cluster.make_usage_collection is not None:
+            reporting = {
+                "usage_receiver": duties_client.UsageClient(
+                    settings.platform.duties
+                ),
+                "make_usage_collection": cluster.make_usage_collection,
+            }
         self.proxy = daemon.Proxy(
             self.node,
             self.store_client,
-            promotion_client.PromotionClient(settings.platform.duties),
+            duties_client.PromotionClient(settings.platform.duties),
+            **reporting,
         )
         self._cancel_scope = trio.CancelScope()
         self.ended = trio.Event()
