Give a domain a fallback rate also if its first one was 0

What callers saw: when a domain is cut off from the others, or a limiter dies, operations of teams well within their limit are refused as "rate limit" until a successor begins (on the site of 80 VMs, 1,106 and 714 such refusals in the four seconds after a cut).

Cause: a standby asks for its fallback rate as soon as it starts, when there is no demand, and gets 0. At its next renewal, 2 s later, it reports this rate as in use, because it is older than the delay; the limiter does not raise a rate that is in use, so it stays 0 for as long as the limiter lives. Ruled out: the time limits of the renewals (the same without delay between VMs).

Change: a rate of 0 is never in use. The limiter still subtracts what it grants.

Test failed before: test_domain_whose_demand_begins_later_gets_a_fallback_rate (0 of 20 tokens). The walk with an oracle, test_no_window_exceeds_the_limit, holds unchanged.

--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -254,9 +254,11 @@
         self._reported_at = now
         if is_new and has_recent_view:
             return FallbackRenewal(0.0, False)
-        return FallbackRenewal(
-            self._fallback_rate, self._is_fallback_valid(has_recent_view, now)
+        # A rate of 0 grants nothing, however old it is.
+        is_in_use = self._fallback_rate > 0 and self._is_fallback_valid(
+            has_recent_view, now
         )
+        return FallbackRenewal(self._fallback_rate, is_in_use)
 
     def note_renewal(self, rate, limiter, sent_at):
         """Apply a limiter's answer to a renewal sent at a clock time."""
--- a/tests/unit/decisions/test_rates.py
+++ b/tests/unit/decisions/test_rates.py
@@ -157,6 +157,36 @@
     assert standby.make_due_renewal(limiter, True, silent) == (5.0, True)
 
 
+def test_domain_whose_demand_begins_later_gets_a_fallback_rate():
+    """Guards against refusals in a cut for teams that were idle at a start.
+
+    A standby reported its first rate of 0 as in use, so that the limiter never
+    raised it.
+    """
+    limiter_bucket = rates.LimiterBucket(0.0)
+    allowance = token_bucket.Allowance(100.0, 10.0)
+    standby = rates.StandbyBucket(0.0)
+    member = make_limiter_member()
+    now = 0.0
+    while now < 20.0:
+        now += 0.05
+        if now > 5.0:
+            limiter_bucket.grant("north", allowance, 1, now)
+        renewal = standby.make_due_renewal(member, True, now)
+        if renewal is not None:
+            rate = limiter_bucket.renew_fallback(
+                "north", renewal, allowance, now
+            )
+            standby.note_renewal(rate, member, now)
+    silent = now + SILENT_AFTER_S
+    reserve = token_bucket.Allowance(0.0, 0.0)
+    taken = sum(
+        standby.take(reserve, 1, member, True, silent + 0.05 * step)
+        for step in range(20)
+    )
+    assert taken >= 18
+
+
 def test_reserve_of_a_small_limit_is_a_whole_token():
     limit = token_bucket.Allowance(6.0, 6.0)
     assert rates.make_reserve(limit, 0.0, 5).burst == 1.0
