Split placement into eligibility, penalties and choice

The choice between targets is to get a second way, for loads that are known only late. Placement held which targets may serve a read, what each would cost, and (in the router) the order of trying them in one place.

Change: decisions/placement/ with eligibility, penalties and choice; the router's sort is choice.order_by_wait.

--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -1,6 +1,8 @@
 """Choice of the target of a statement, and retries at other targets."""
 
-from geraniumridge._internal.decisions import placement
+from geraniumridge._internal.decisions.placement import choice
+from geraniumridge._internal.decisions.placement import eligibility
+from geraniumridge._internal.decisions.placement import penalties
 from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import desired
@@ -112,22 +114,19 @@
             context.route.group, now
         )
         candidates = [
-            target
+            choice.Candidate(
+                target, self._estimate_wait(context, target, min_position, now)
+            )
             for target in self._node.view.list_group(context.route.group)
             if target.id not in excluded
             and not target.is_draining
             and self._is_allowed(context, target)
             and self._node.pools.get(target.id).load.is_available(now)
         ]
-        candidates.sort(
-            key=lambda target: self._estimate_wait(
-                context, target, min_position, now
-            )
-        )
         best = next(
             (
                 item
-                for item in candidates
+                for item in choice.order_by_wait(candidates)
                 if self._take_warmup_token(item, now)
             ),
             None,
@@ -149,7 +148,7 @@
         session_position = None
         if route.consistency is desired.Consistency.SESSION:
             session_position = context.session.get_commit_position(route.group)
-        return placement.find_min_position(
+        return eligibility.find_min_position(
             self._node.get_log_positions(route.group),
             session_position,
             _get_covered_time(route),
@@ -157,7 +156,7 @@
 
     def _estimate_wait(self, context, target, min_position, now):
         pool = self._node.pools.get(target.id)
-        return placement.estimate_wait_s(
+        return penalties.estimate_wait_s(
             pool.load,
             target,
             min_position,
@@ -169,7 +168,7 @@
     def _is_allowed(self, context, target):
         view = self._node.view
         team = view.state.teams.get(context.team)
-        return placement.is_allowed(
+        return eligibility.is_allowed(
             target, context.route, team, view, self._node.get_region
         )
 
