Add a choice of targets for loads that are known late

Cause: every VM takes the target with the least estimated latency, by its own calls. Where there are more VMs than slots these say little, and if the VMs knew the loads they would all choose the same target.

Change: choice.order_by_draw draws two targets by free slots and moves to the better one with the share of reads that makes up for the difference. An observation counts less the older it is, the mean of the candidates takes its place. Penalties keep a target behind those without them until these are fuller. TargetLoad averages its outstanding calls for this. Nothing uses it yet.

All unit tests pass.

--- a/src/geraniumridge/_internal/decisions/load.py
+++ b/src/geraniumridge/_internal/decisions/load.py
@@ -25,6 +25,11 @@
 """Longest such delay; bounds how late a target that has recovered is used
 again."""
 
+OCCUPANCY_WINDOW_S = 0.3
+"""Time constant of the average number of outstanding calls; longer than a
+statement, so that one VM's few statements add up to a steady figure. It is
+also the mean age of what the average is made of."""
+
 LAG_REPORT_VALID_S = 0.1
 """How long a reported log position shows that a target lags behind; by
 then it has probably caught up."""
@@ -44,6 +49,10 @@
         self._call_starts = {}
         self._next_call = 0
         self._latency_s = INITIAL_LATENCY_S
+        self._latency_seen_at = -math.inf
+        self._occupancy = 0.0
+        self._occupancy_at = -math.inf
+        self._answered_calls = 0
         self._failures = 0
         self._failing_since = None
         self._answered_at = -math.inf
@@ -63,6 +72,11 @@
         """Moving average of the latency, in seconds."""
         return self._latency_s
 
+    @property
+    def answered_calls(self):
+        """Number of statements that the target has answered."""
+        return self._answered_calls
+
     @property
     def failures(self):
         """Number of failures since the last answer."""
@@ -80,19 +94,33 @@
 
     def begin(self, now):
         """Register a new call and return its number."""
+        self._update_occupancy(now)
         self._next_call += 1
         self._call_starts[self._next_call] = now
         return self._next_call
 
     def end(self, call, now, is_answered):
         """Remove a finished call and, if it was answered, note its latency."""
+        self._update_occupancy(now)
         started = self._call_starts.pop(call)
         if is_answered:
+            self._answered_calls += 1
+            self._latency_seen_at = now
             self._latency_s += LATENCY_WEIGHT * (
                 now - started - self._latency_s
             )
             self.note_answer(now)
 
+    def get_latency_age_s(self, now):
+        """Return the time since the last answer, in seconds."""
+        return max(0.0, now - self._latency_seen_at)
+
+    def get_occupancy(self, now):
+        """Return the average of `outstanding` over `OCCUPANCY_WINDOW_S`."""
+        elapsed_s = max(0.0, now - self._occupancy_at)
+        former = math.exp(-elapsed_s / OCCUPANCY_WINDOW_S)
+        return former * self._occupancy + (1 - former) * self.outstanding
+
     def note_answer(self, now):
         """Reset the failures, as the target answered with any outcome."""
         self._answered_at = now
@@ -202,3 +230,8 @@
             now - started > STALLED_CALL_AGE_S
             for started in self._call_starts.values()
         )
+
+    def _update_occupancy(self, now):
+        """Add the time since the last change to the average."""
+        self._occupancy = self.get_occupancy(now)
+        self._occupancy_at = now
--- a/src/geraniumridge/_internal/decisions/placement/choice.py
+++ b/src/geraniumridge/_internal/decisions/placement/choice.py
@@ -1,7 +1,25 @@
 """Order in which the targets that may serve a read are tried."""
 
+import math
 import typing
 
+OBSERVATION_WEIGHT_S = 0.3
+"""Age at which an observation has a weight of 1/e; the rest of the weight
+is on the mean of all candidates. With 0.5 s, 80 VMs overloaded a target that
+returned in replays with knowledge of 0.1 s age."""
+
+LATENCY_WEIGHT_S = 2.0
+"""The same for a VM's own latency of a target. Without a limit a target
+that was slow once would not be tried again."""
+
+SAME_PENALTY_S = 0.005
+"""Candidates whose penalties differ by at most this are drawn from
+together."""
+
+MIN_FREE_SHARE = 0.05
+"""Least share of a target's slots that counts as free, so that targets that
+are all full are still drawn by size."""
+
 
 class Candidate(typing.NamedTuple):
     """A target that may serve a read, with the estimated latency there."""
@@ -10,13 +28,169 @@
     wait_s: float
 
 
+class LoadedCandidate(typing.NamedTuple):
+    """A target that may serve a read, with what is known of its load.
+
+    `latency_s` is the latency that this VM observed, `latency_age_s` ago.
+    `penalty_s` is added to it for whatever makes the target less suitable,
+    `connect_s` if a connection has to be opened. `own` is this VM's number
+    of outstanding calls, so it includes those sent since the observation;
+    `others` is the mean number of the calls of other VMs, observed `age_s`
+    ago (infinite if unknown). `is_partial` is whether the observation
+    lacks most of the VMs that use the target.
+    """
+
+    target: typing.Any
+    slots: int
+    latency_s: float
+    latency_age_s: float
+    penalty_s: float
+    connect_s: float
+    own: int
+    others: float
+    age_s: float
+    is_partial: bool = False
+
+
+class Estimate(typing.NamedTuple):
+    """Estimated latency at a target, and the weight to draw it with."""
+
+    target: typing.Any
+    wait_s: float
+    penalty_s: float
+    free_slots: float
+
+
 def order_by_wait(candidates):
     """Return the targets of candidates, least estimated latency first.
 
     Parameters
     ----------
-    candidates : iterable of Candidate
+    candidates : iterable of Candidate or Estimate
         The targets that may serve the read.
     """
     ordered = sorted(candidates, key=lambda candidate: candidate.wait_s)
     return [candidate.target for candidate in ordered]
+
+
+def order_by_draw(candidates, random_source):
+    """Return the targets of candidates, one of two drawn ones first.
+
+    Two are drawn, so that VMs with the same knowledge of the loads do not
+    choose the same target, and the better one is mostly taken. They are
+    drawn from the candidates with the least penalties. One with higher
+    penalties is taken for some of the reads while it is better in spite of
+    them. The others follow by estimated latency.
+
+    Parameters
+    ----------
+    candidates : list of LoadedCandidate
+        The targets that may serve the read.
+    random_source : random.Random
+        Source of the draws.
+    """
+    estimates = estimate_loads(candidates)
+    if not estimates:
+        return []
+    chosen = _choose(estimates, random_source)
+    return [
+        chosen.target,
+        *order_by_wait(item for item in estimates if item is not chosen),
+    ]
+
+
+def estimate_loads(candidates):
+    """Return an `Estimate` of each `LoadedCandidate`.
+
+    An observation counts less the older it is. The mean of all candidates
+    takes its place, also where there is none.
+    """
+    mean_fill = _get_mean_fill(candidates)
+    mean_latency_s = _get_mean_latency_s(candidates)
+    return [
+        _estimate(candidate, mean_fill, mean_latency_s)
+        for candidate in candidates
+    ]
+
+
+def _get_mean_fill(candidates):
+    """Return the mean number of other VMs' calls per slot."""
+    observed = [item for item in candidates if math.isfinite(item.age_s)]
+    complete = [item for item in observed if not item.is_partial]
+    used = complete or observed
+    slots = sum(max(1, item.slots) for item in used)
+    return sum(item.others for item in used) / slots if used else 0.0
+
+
+def _get_mean_latency_s(candidates):
+    """Return the mean latency, weighted by the age of the observations."""
+    weights = [
+        math.exp(-item.latency_age_s / LATENCY_WEIGHT_S) for item in candidates
+    ]
+    total = sum(weights)
+    if total <= 0.0:
+        return min((item.latency_s for item in candidates), default=0.0)
+    return (
+        sum(
+            weight * item.latency_s
+            for weight, item in zip(weights, candidates)
+        )
+        / total
+    )
+
+
+def _estimate(candidate, mean_fill, mean_latency_s):
+    slots = max(1, candidate.slots)
+    trust = math.exp(-candidate.age_s / OBSERVATION_WEIGHT_S)
+    observed = candidate.others / slots
+    if candidate.is_partial:
+        observed = max(observed, mean_fill)
+    fill = trust * observed + (1 - trust) * mean_fill + candidate.own / slots
+    trust = math.exp(-candidate.latency_age_s / LATENCY_WEIGHT_S)
+    latency_s = trust * candidate.latency_s + (1 - trust) * mean_latency_s
+    return Estimate(
+        candidate.target,
+        latency_s * (1 + fill) + candidate.penalty_s + candidate.connect_s,
+        candidate.penalty_s,
+        slots * max(MIN_FREE_SHARE, 1 - fill),
+    )
+
+
+def _choose(estimates, random_source):
+    least_penalty_s = min(item.penalty_s for item in estimates)
+    preferred = []
+    others = []
+    for item in estimates:
+        is_preferred = item.penalty_s <= least_penalty_s + SAME_PENALTY_S
+        (preferred if is_preferred else others).append(item)
+    first = _choose_of_two(preferred, random_source)
+    if not others:
+        return first
+    second = _choose_of_two(others, random_source)
+    return _move_share(first, second, random_source)
+
+
+def _choose_of_two(estimates, random_source):
+    """Draw two estimates by free slots and choose one of them."""
+    first = _draw(estimates, random_source)
+    left = [item for item in estimates if item is not first]
+    if not left:
+        return first
+    return _move_share(first, _draw(left, random_source), random_source)
+
+
+def _draw(estimates, random_source):
+    weights = [item.free_slots for item in estimates]
+    (found,) = random_source.choices(estimates, weights)
+    return found
+
+
+def _move_share(first, second, random_source):
+    """Return the second estimate for the share of reads that should move.
+
+    If every read moved to a target that is a little better, all VMs would
+    move to it before any of them knew. The share that moves makes up for
+    the difference of the latencies, none if the first one is better.
+    """
+    moved_share = 1 - second.wait_s / max(first.wait_s, second.wait_s)
+    return second if random_source.random() < moved_share else first
--- a/tests/unit/decisions/test_load.py
+++ b/tests/unit/decisions/test_load.py
@@ -54,3 +54,24 @@
         target_load.note_accepted()
     refuse(target_load, 1.0)
     assert find_delay_s(target_load, 1.0) < 2 * load.FIRST_OVERLOAD_DELAY_S
+
+
+def test_occupancy_is_the_average_of_the_outstanding_calls():
+    """A momentary number is 0 most of the time at a VM with few calls."""
+    target_load = load.TargetLoad()
+    for number in range(100):
+        call = target_load.begin(number * 0.1)
+        target_load.end(call, number * 0.1 + 0.05, is_answered=True)
+    assert 0.35 < target_load.get_occupancy(9.95) < 0.65
+    assert target_load.outstanding == 0
+    assert target_load.answered_calls == 100
+    assert 0.99 < target_load.get_latency_age_s(10.95) < 1.01
+    assert target_load.get_occupancy(20.0) < 0.001
+
+
+def test_occupancy_of_an_unused_target_is_zero():
+    target_load = load.TargetLoad()
+    assert target_load.get_occupancy(5.0) == 0.0
+    target_load.begin(5.0)
+    assert target_load.get_occupancy(5.0) == 0.0
+    assert target_load.get_occupancy(50.0) > 0.999
