Draw the targets of reads in fleets with more VMs than slots

Cause: in large fleets the busiest target had 2.4 to 4.2 times the mean load; each VM places reads by its own calls alone.

Change: reads of a group are placed by choice.order_by_draw if the fleet has 16 VMs or more and more VMs than the group's targets have slots. Both are in the store, so there is no setting to forget. A fleet of 9 VMs is served as before, whatever happens to its targets. Ruled out: more VMs than slots alone, since 9 VMs would change over when two of three targets with 3 slots are gone.

--- a/src/geraniumridge/_internal/decisions/placement/choice.py
+++ b/src/geraniumridge/_internal/decisions/placement/choice.py
@@ -176,13 +176,13 @@
 
 def _estimate(candidate, mean_fill, least_partial_fill, mean_latency_s):
     slots = max(1, candidate.slots)
-    trust = math.exp(-candidate.age_s / OBSERVATION_WEIGHT_S)
+    known = math.exp(-candidate.age_s / OBSERVATION_WEIGHT_S)
     observed = candidate.others / slots
     if candidate.is_partial:
         observed = max(observed, least_partial_fill)
-    fill = trust * observed + (1 - trust) * mean_fill + candidate.own / slots
-    trust = math.exp(-candidate.latency_age_s / LATENCY_WEIGHT_S)
-    latency_s = trust * candidate.latency_s + (1 - trust) * mean_latency_s
+    fill = known * observed + (1 - known) * mean_fill + candidate.own / slots
+    known = math.exp(-candidate.latency_age_s / LATENCY_WEIGHT_S)
+    latency_s = known * candidate.latency_s + (1 - known) * mean_latency_s
     weight = slots * max(MIN_FREE_SHARE, 1 - fill)
     if not candidate.connect_s:
         weight *= CONNECTED_WEIGHT
--- a/src/geraniumridge/_internal/proxy/metrics_server.py
+++ b/src/geraniumridge/_internal/proxy/metrics_server.py
@@ -9,6 +9,21 @@
 of infinity."""
 
 
+MAX_TARGET_SERIES = 50
+"""Targets with series of their own, those with the most statements; further
+targets share one."""
+
+OTHER_TARGETS_LABEL = "other"
+"""Label of the series that targets beyond `MAX_TARGET_SERIES` share."""
+
+
+TARGET_SERIES = (
+    "target_statements_total",
+    "target_occupancy",
+    "target_neighbours_occupancy",
+)
+
+
 class MetricsServer:
     """Server of the metrics in the text format of Prometheus.
 
@@ -29,7 +44,7 @@
         if request.path != METRICS_PATH:
             return http.Response(404, b"")
         self._set_gauges()
-        text = self._node.metrics.format_text()
+        text = self._node.metrics.format_text() + self._format_targets()
         return http.Response(
             200, text.encode(), content_type="text/plain; version=0.0.4"
         )
@@ -51,3 +66,41 @@
             gauges["desired_version"] = node.view.state.version
         for name, value in gauges.items():
             node.metrics.set_gauge(name, value)
+
+    def _format_targets(self):
+        """Return the statements and the load of each target as text.
+
+        `target_statements_total` are those that the target has answered to
+        this VM, `target_occupancy` is this VM's mean number of calls there,
+        `target_neighbours_occupancy` that of the other VMs of the domain, 0
+        where it is unknown.
+        """
+        now = clock.now()
+        pools = sorted(
+            self._node.pools.items(),
+            key=lambda item: (-item[1].load.answered_calls, item[0]),
+        )
+        values_by_label = {}
+        for number, (target_id, pool) in enumerate(pools):
+            others = self._node.load_reports.get_others(target_id, now)
+            label = _escape(target_id)
+            if number >= MAX_TARGET_SERIES:
+                label = OTHER_TARGETS_LABEL
+            values = values_by_label.setdefault(label, [0, 0.0, 0.0])
+            values[0] += pool.load.answered_calls
+            values[1] += pool.load.get_occupancy(now)
+            values[2] += 0.0 if others is None else others.calls
+        lines = []
+        for index, name in enumerate(TARGET_SERIES):
+            for label, values in values_by_label.items():
+                lines.append(
+                    f'geraniumridge_{name}{{target="{label}"}}'
+                    f" {round(values[index], 3)}\n"
+                )
+        return "".join(lines)
+
+
+def _escape(label):
+    """Return a label's value as the text format writes it."""
+    label = label.replace("\\", "\\\\").replace('"', '\\"')
+    return label.replace("\n", "\\n")
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -1,5 +1,8 @@
 """Choice of the target of a statement, and retries at other targets."""
 
+import math
+import random
+
 from geraniumridge._internal.decisions.placement import choice
 from geraniumridge._internal.decisions.placement import eligibility
 from geraniumridge._internal.decisions.placement import penalties
@@ -26,6 +29,7 @@
 
     def __init__(self, node):
         self._node = node
+        self._random = random.Random()
 
     async def try_targets(self, context, is_read, budget, run_attempt):
         """Try targets until one gives a final answer or the budget ends.
@@ -114,9 +118,7 @@
             context.route.group, now
         )
         candidates = [
-            choice.Candidate(
-                target, self._estimate_wait(context, target, min_position, now)
-            )
+            target
             for target in self._node.view.list_group(context.route.group)
             if target.id not in excluded
             and not target.is_draining
@@ -126,7 +128,9 @@
         best = next(
             (
                 item
-                for item in choice.order_by_wait(candidates)
+                for item in self._order_for_read(
+                    context, candidates, min_position, now
+                )
                 if self._take_warmup_token(item, now)
             ),
             None,
@@ -136,6 +140,54 @@
         is_primary = primary is not None and best.id == primary.id
         return attempt.Destination(best, min_position, is_primary)
 
+    def _order_for_read(self, context, targets, min_position, now):
+        """Return targets in the order in which a read tries them."""
+        view = self._node.view
+        is_drawn = choice.is_draw_needed(
+            len(view.members), view.list_group(context.route.group)
+        )
+        if is_drawn:
+            self._node.metrics.count("reads_drawn")
+            return choice.order_by_draw(
+                [
+                    self._make_loaded(context, target, min_position, now)
+                    for target in targets
+                ],
+                self._random,
+            )
+        return choice.order_by_wait(
+            choice.Candidate(
+                target, self._estimate_wait(context, target, min_position, now)
+            )
+            for target in targets
+        )
+
+    def _make_loaded(self, context, target, min_position, now):
+        """Return a `choice.LoadedCandidate` of a target."""
+        pool = self._node.pools.get(target.id)
+        target_load = pool.load
+        slots = max(1, target.slots)
+        connect_s = 0.0
+        if not pool.has_idle_connection(context.team):
+            connect_s = penalties.CONNECT_PENALTY_S
+        own_wait_s = target_load.latency_s * (
+            1 + target_load.outstanding / slots
+        )
+        wait_s = self._estimate_wait(context, target, min_position, now)
+        others = self._node.load_reports.get_others(target.id, now)
+        return choice.LoadedCandidate(
+            target=target,
+            slots=slots,
+            latency_s=target_load.latency_s,
+            latency_age_s=target_load.get_latency_age_s(now),
+            penalty_s=wait_s - own_wait_s - connect_s,
+            connect_s=connect_s,
+            own=target_load.outstanding,
+            others=0.0 if others is None else others.calls,
+            age_s=math.inf if others is None else others.age_s,
+            is_partial=target.domain != self._node.settings.vm.domain,
+        )
+
     async def _fetch_position(self, context):
         """Get a log position for a read that replicas may serve."""
         route = context.route
