Allow for the calls of other domains in the draw

Cause: a target of another domain counted as at least as full as the near ones, so few reads left a domain whose own targets were full.

Change: the unseen calls are as many as the VMs of other domains would have if each had as many as those of the own domain.

--- a/src/geraniumridge/_internal/decisions/load_reports.py
+++ b/src/geraniumridge/_internal/decisions/load_reports.py
@@ -59,9 +59,14 @@
 
 
 class LoadReports:
-    """Reports of neighbours, and the sums that the reader sent."""
+    """Reports of neighbours, and the sums that the reader sent.
+
+    `unseen_ratio` is the number of VMs in other domains, which are not in
+    the sums, for each VM of this domain.
+    """
 
     def __init__(self):
+        self.unseen_ratio = 0.0
         self._reports = collections.OrderedDict()
         self._sums = {}
         self._reported_at = -math.inf
--- a/src/geraniumridge/_internal/decisions/placement/choice.py
+++ b/src/geraniumridge/_internal/decisions/placement/choice.py
@@ -16,6 +16,11 @@
 """Candidates whose penalties differ by at most this are drawn from
 together."""
 
+MAX_FILL = 1.0
+"""Calls per slot up to which a target's load adds to its latency. Further
+calls queue, and the observed latency has the time in the queue already.
+Counted twice, it moved reads between domains to and fro in replays."""
+
 MIN_FREE_SHARE = 0.05
 """Least share of a target's slots that counts as free, so that targets that
 are all full are still drawn by size."""
@@ -47,8 +52,8 @@
     `connect_s` if a connection has to be opened. `own` is this VM's number
     of outstanding calls, so it includes those sent since the observation;
     `others` is the mean number of the calls of other VMs, observed `age_s`
-    ago (infinite if unknown). `is_partial` is whether the observation
-    lacks most of the VMs that use the target.
+    ago (infinite if unknown). `is_partial` is whether the target is in
+    another domain, whose VMs' calls are not in the observation.
     """
 
     target: typing.Any
@@ -105,7 +110,7 @@
     return [candidate.target for candidate in ordered]
 
 
-def order_by_draw(candidates, random_source):
+def order_by_draw(candidates, random_source, unseen_ratio=0.0):
     """Return the targets of candidates, one of two drawn ones first.
 
     Two are drawn, so that VMs with the same knowledge of the loads do not
@@ -120,8 +125,10 @@
         The targets that may serve the read.
     random_source : random.Random
         Source of the draws.
+    unseen_ratio : float
+        See `estimate_loads`.
     """
-    estimates = estimate_loads(candidates)
+    estimates = estimate_loads(candidates, unseen_ratio)
     if not estimates:
         return []
     chosen = _choose(estimates, random_source)
@@ -131,30 +138,47 @@
     ]
 
 
-def estimate_loads(candidates):
+def estimate_loads(candidates, unseen_ratio=0.0):
     """Return an `Estimate` of each `LoadedCandidate`.
 
-    An observation counts less the older it is. The mean of all candidates
-    takes its place, also where there is none.
+    An observation counts less the older it is. The mean of the candidates
+    in the same or in other domains takes its place, also where there is
+    none. The unseen calls at targets of other domains are as many as the
+    VMs there would have if each had as many as those of this domain.
+
+    Parameters
+    ----------
+    candidates : list of LoadedCandidate
+        The targets.
+    unseen_ratio : float
+        Number of VMs in other domains for each VM of this domain.
     """
-    mean_fill = _get_mean_fill(candidates)
+    near = [item for item in candidates if not item.is_partial]
+    distant = [item for item in candidates if item.is_partial]
+    unseen_calls = unseen_ratio * sum(
+        item.others for item in candidates if math.isfinite(item.age_s)
+    )
+    unseen_fill = unseen_calls / max(1, _count_slots(distant))
     mean_latency_s = _get_mean_latency_s(candidates)
-    least_partial_fill = 0.0
-    if not all(item.is_partial for item in candidates):
-        least_partial_fill = mean_fill
     return [
-        _estimate(candidate, mean_fill, least_partial_fill, mean_latency_s)
-        for candidate in candidates
+        *_estimate_alike(near, 0.0, mean_latency_s),
+        *_estimate_alike(distant, unseen_fill, mean_latency_s),
     ]
 
 
-def _get_mean_fill(candidates):
-    """Return the mean number of other VMs' calls per slot."""
+def _estimate_alike(candidates, unseen_fill, mean_latency_s):
+    """Return estimates of candidates that are observed in the same way."""
     observed = [item for item in candidates if math.isfinite(item.age_s)]
-    complete = [item for item in observed if not item.is_partial]
-    used = complete or observed
-    slots = sum(max(1, item.slots) for item in used)
-    return sum(item.others for item in used) / slots if used else 0.0
+    slots = max(1, _count_slots(observed))
+    mean_fill = sum(item.others for item in observed) / slots
+    return [
+        _estimate(candidate, mean_fill, unseen_fill, mean_latency_s)
+        for candidate in candidates
+    ]
+
+
+def _count_slots(candidates):
+    return sum(max(1, item.slots) for item in candidates)
 
 
 def _get_mean_latency_s(candidates):
@@ -174,13 +198,11 @@
     )
 
 
-def _estimate(candidate, mean_fill, least_partial_fill, mean_latency_s):
+def _estimate(candidate, mean_fill, unseen_fill, mean_latency_s):
     slots = max(1, candidate.slots)
     known = math.exp(-candidate.age_s / OBSERVATION_WEIGHT_S)
-    observed = candidate.others / slots
-    if candidate.is_partial:
-        observed = max(observed, least_partial_fill)
-    fill = known * observed + (1 - known) * mean_fill + candidate.own / slots
+    fill = known * candidate.others / slots + (1 - known) * mean_fill
+    fill += unseen_fill + candidate.own / slots
     known = math.exp(-candidate.latency_age_s / LATENCY_WEIGHT_S)
     latency_s = known * candidate.latency_s + (1 - known) * mean_latency_s
     weight = slots * max(MIN_FREE_SHARE, 1 - fill)
@@ -188,7 +210,9 @@
         weight *= CONNECTED_WEIGHT
     return Estimate(
         candidate.target,
-        latency_s * (1 + fill) + candidate.penalty_s + candidate.connect_s,
+        latency_s * (1 + min(MAX_FILL, fill))
+        + candidate.penalty_s
+        + candidate.connect_s,
         candidate.penalty_s,
         weight,
     )
--- a/src/geraniumridge/_internal/proxy/load_exchange.py
+++ b/src/geraniumridge/_internal/proxy/load_exchange.py
@@ -166,4 +166,7 @@
                 except exceptions.NotSentError:
                     continue
                 self._neighbours[found] = vm
+            own_count = len(self._neighbours) + 1
+            unseen_count = max(0, len(view.members) - own_count)
+            self._node.load_reports.unseen_ratio = unseen_count / own_count
         return self._neighbours
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -154,6 +154,7 @@
                     for target in targets
                 ],
                 self._random,
+                self._node.load_reports.unseen_ratio,
             )
         return choice.order_by_wait(
             choice.Candidate(
--- a/tests/unit/decisions/placement/test_choice.py
+++ b/tests/unit/decisions/placement/test_choice.py
@@ -45,11 +45,11 @@
     )
 
 
-def get_wait_s(candidates, name):
+def get_wait_s(candidates, name, unseen_ratio=0.0):
     """Return the estimated latency at a target."""
     (found,) = (
         item
-        for item in choice.estimate_loads(candidates)
+        for item in choice.estimate_loads(candidates, unseen_ratio)
         if item.target == name
     )
     return found.wait_s
@@ -108,14 +108,27 @@
     assert get_wait_s(candidates, "b") < wait_s < get_wait_s(candidates, "a")
 
 
-def test_target_that_few_of_its_vms_report_counts_as_full_as_the_mean():
-    """A target of another domain would seem empty while its own VMs use it."""
+def test_target_of_another_domain_counts_as_full_as_its_own_vms_make_it():
+    """It would seem empty, as the reports lack the calls of these VMs."""
     candidates = [
-        make_loaded("a", others=4.0),
+        make_loaded("a", others=2.0),
         make_loaded("b", is_partial=True),
     ]
-    wait_s = get_wait_s(candidates, "b")
-    assert wait_s == pytest.approx(get_wait_s(candidates, "a"))
+    near_s = get_wait_s(candidates, "a")
+    empty_s, half_s, same_s, double_s = (
+        get_wait_s(candidates, "b", ratio) for ratio in (0.0, 0.5, 1.0, 2.0)
+    )
+    assert empty_s < half_s < near_s < double_s
+    assert same_s == pytest.approx(near_s)
+
+
+def test_queue_of_a_target_is_counted_by_its_latency_alone():
+    """It is in the latency; counted twice, reads would move to and fro."""
+    waits = [
+        get_wait_s([make_loaded("a", others=calls)], "a")
+        for calls in (2.0, 4.0, 12.0)
+    ]
+    assert waits[0] < waits[1] == waits[2]
 
 
 def test_own_calls_since_the_observation_are_added():
--- a/tests/unit/proxy/test_load_exchange.py
+++ b/tests/unit/proxy/test_load_exchange.py
@@ -235,3 +235,19 @@
     assert trio.run(main).changes == store.Changes((), 7)
     assert get_calls(node, "i-1") is None
     assert node.metrics.counters["load_reports_refused"] == 1
+
+
+def test_vms_of_other_domains_are_counted():
+    """Their calls are not in the sums, so a VM has to allow for them."""
+    node = make_node("vm-2", LARGE_FLEET)
+    moved = tuple(
+        store.Item(
+            fleet.make_member_key(f"vm-{number}"),
+            node.view.members[f"vm-{number}"]._replace(domain="south"),
+            8,
+        )
+        for number in range(17, LARGE_FLEET + 1)
+    )
+    node.view.apply(clock.now(), store.Changes(moved, 8))
+    load_exchange.LoadExchange(node).make_report()
+    assert node.load_reports.unseen_ratio == 0.5
