--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -16,6 +16,7 @@
 from geraniumridge._internal.proxy.lending import directory
 from geraniumridge._internal.proxy.lending import lender
 from geraniumridge._internal.proxy import limits
+from geraniumridge._internal.proxy import load_exchange
 from geraniumridge._internal.proxy import membership
 from geraniumridge._internal.proxy import position_exchange
 from geraniumridge._internal.proxy import primary_revocation
@@ -95,7 +96,9 @@
         self._peers = datagrams.Peers(
             node.settings.peer_address, node.distances
         )
-        self._view_exchange = view_exchange.ViewExchange(node, self._peers)
+        self._view_exchange = view_exchange.ViewExchange(
+            node, self._peers, load_exchange.LoadExchange(node)
+        )
         self._follower = follower.StoreFollower(
             node, store, self._view_exchange, self._apply_view_change
         )
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -5,6 +5,7 @@
 import trio
 
 from geraniumridge._internal.decisions.distance import estimates
+from geraniumridge._internal.decisions import load_reports
 from geraniumridge._internal.decisions import position_history
 from geraniumridge._internal.decisions import primary_resolver
 from geraniumridge._internal.decisions import quorum
@@ -71,6 +72,7 @@
             settings.vm.domain, settings.regions, self._find_domain
         )
         self.pools = pool.ConnectionPools(dialect, self.distances)
+        self.load_reports = load_reports.LoadReports()
         self.metrics = metrics.MetricsRegistry()
         self.limits = None
         self.position_exchange = None
