Count operations for usage reports, not statements

Cause: each read, write and COMMIT was counted. Change: an operation counts once, at its first statement.

The test of the unit asserted statements; it is replaced by one for operations, with more cases.

--- a/src/geraniumridge/_internal/decisions/usage/counter.py
+++ b/src/geraniumridge/_internal/decisions/usage/counter.py
@@ -1,4 +1,4 @@
-"""Requests that targets began to run, counted for each window and team."""
+"""Operations that targets began to run, for each window and team."""
 
 import math
 import typing
@@ -41,14 +41,11 @@
         self._retained_slots = math.ceil(retained_s / SLOT_S)
 
     def note_begun(self, team, now):
-        """Count a request that is sent to a target now.
-
-        Which requests count, and as how much, is decided here alone.
-        """
+        """Count an operation whose first statement is sent to a target now."""
         self._add(team, now, 1)
 
     def note_refused(self, team, sent_at):
-        """Take back a request that the target said it did not run.
+        """Take back an operation that the target said it did not begin.
 
         `sent_at` is the time that `note_begun` was given for it.
         """
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -38,6 +38,7 @@
 
     `begin_read_only` is None unless the statement is the first of a
     transaction; then it is whether that transaction is read-only.
+    `begins_operation` is false of the later statements of a transaction.
     `commits_writes` is whether a success commits writes: true of a
     single write and of the COMMIT of a transaction that wrote.
     """
@@ -48,6 +49,7 @@
     team: str
     commits_writes: bool
     begin_read_only: bool | None = None
+    begins_operation: bool = True
 
 
 class AttemptResult(typing.NamedTuple):
@@ -272,7 +274,9 @@
         )
         sent_at = clock.now()
         call_number = pool.load.begin(sent_at)
-        usage_counter = self._node.usage_counter
+        usage_counter = None
+        if context.begins_operation:
+            usage_counter = self._node.usage_counter
         if usage_counter is not None:
             usage_counter.note_begun(context.team, sent_at)
         answer = None
--- a/src/geraniumridge/_internal/proxy/transaction.py
+++ b/src/geraniumridge/_internal/proxy/transaction.py
@@ -155,6 +155,7 @@
             self._admission_result.team,
             is_commit and self._has_written,
             begin_read_only,
+            begins_operation=begin_read_only is not None,
         )
 
     def _translate_refusal(self, statement, answer):
