Mend what reviews of usage, distance and even load found

Usage: two entries of one open run in one datagram lost the counts of the first (test failed before); records are kept for two minutes longer, so that a successor whose clock is behind does not decide a window again; statements that a lender did not pass on are not counted; nothing is reported before the clock has settled, and windows before it was set are passed over at once; sums are not computed again 20 times a second; an error of this part no longer keeps a stopping VM registered.

Distance: a renewal of a fallback rate takes 0.1 s at most, since later answers let a standby grant beyond the bound at round trips from about 140 ms (by the reviewer's simulation); pauses and least times have a ceiling; a domain that the settings do not name counts as near.

Even load: one VM's report counts 16 calls per slot of a target at most.

--- a/src/geraniumridge/_internal/decisions/distance/estimates.py
+++ b/src/geraniumridge/_internal/decisions/distance/estimates.py
@@ -29,6 +29,10 @@
 """By how much a time limit may exceed its floor where the caller sets no
 ceiling of its own."""
 
+MAX_LEAST_S = 0.1
+"""Most time that an answer from another region is taken to need at least; the
+estimate is a mean, and may come from an overload that has ended."""
+
 MAX_BACKOFF = 4
 """Largest factor on a time limit after repeated time-outs. A cut domain
 leaves all queries unanswered, and a limiter there must still count as silent
@@ -154,8 +158,12 @@
         self._connects = {}
 
     def is_distant(self, domain):
-        """Return whether a failure domain is in another region."""
-        return self._regions.get(domain, "") != self._own_region
+        """Return whether a failure domain is in another region.
+
+        One that the settings do not name counts as near.
+        """
+        region = self._regions.get(domain, self._own_region)
+        return region != self._own_region
 
     def note_round_trip(self, vm, seconds, now):
         """Add a sample of the round trip to a VM.
@@ -228,8 +236,14 @@
         return FIRST_ROUND_TRIP_S if self.is_distant(domain) else 0.0
 
     def get_added_s(self, domain):
-        """Return the round trip to a domain of another region, else 0."""
-        return self.get_round_trip_s(domain) if self.is_distant(domain) else 0
+        """Return the round trip to a domain of another region, else 0.
+
+        It is at most `MAX_ADDED_S`, so that samples of an overload do not
+        prolong pauses further.
+        """
+        if not self.is_distant(domain):
+            return 0.0
+        return min(MAX_ADDED_S, self.get_round_trip_s(domain))
 
     def get_least_s(self, domain):
         """Return the time that an answer from a domain takes at least.
@@ -239,7 +253,8 @@
         """
         if not self.is_distant(domain):
             return 0.0
-        return self._find_domain_round_trip_s(domain) or 0.0
+        measured_s = self._find_domain_round_trip_s(domain) or 0.0
+        return min(MAX_LEAST_S, measured_s)
 
     def get_longest_s(self, domains):
         """Return the longest round trip to some domains of other regions."""
--- a/src/geraniumridge/_internal/decisions/usage/window_queue.py
+++ b/src/geraniumridge/_internal/decisions/usage/window_queue.py
@@ -23,6 +23,10 @@
 MAX_NAMED_MISSES = 100
 """Windows without a reporter that are counted after a takeover, at most."""
 
+KEEP_S = 120.0
+"""How long a record is kept once it is no longer useful. A successor whose
+clock is behind by less than that still sees what has been decided."""
+
 NO_REPORTER = "no reporter"
 INCOMPLETE = "incomplete"
 NOT_RECORDED = "not recorded"
@@ -104,6 +108,18 @@
         missed = range(max(newest + 1, first - MAX_NAMED_MISSES), first)
         return [reports.SkippedWindow(item, NO_REPORTER) for item in missed]
 
+    def pass_over_old(self, now):
+        """Pass over windows that are long overdue; return how many.
+
+        The clock of the first VMs may be far off until others are heard.
+        """
+        oldest = self._clock.get_window(now) - MAX_NAMED_MISSES
+        while not self.is_overdue(oldest, now):
+            oldest -= 1
+        count = max(0, oldest - self._next)
+        self._next += count
+        return count
+
     def find_window(self, now):
         """Return the next window to decide, or None before its end."""
         if now < self._clock.get_end(self._next):
@@ -176,7 +192,7 @@
         obsolete = (
             window
             for window in sorted(records)
-            if window < newest and now >= self._get_useful_end(window)
+            if window < newest and now >= self._get_useful_end(window) + KEEP_S
         )
         return [window for window, _ in zip(obsolete, range(MAX_DELETES))]
 
--- a/src/geraniumridge/_internal/network/usage_parts.py
+++ b/src/geraniumridge/_internal/network/usage_parts.py
@@ -109,19 +109,18 @@
     exceptions.ProtocolError
         If it is malformed, or a count is negative or huge.
     """
+    found = {}
+    for vm, boot, sequence, counts in _decode(_open_decoder, open_runs):
+        # A run with many teams has several entries.
+        run = found.setdefault(
+            merging.Run(vm, boot), merging.OpenRun(sequence, {})
+        )
+        run.teams.update(
+            (team, merging.TeamCount(count, missing / 1000))
+            for team, (count, missing) in counts.items()
+        )
     return merging.WindowSums(
-        _decode(_counts_decoder, teams),
-        decode_runs(final_runs),
-        {
-            merging.Run(vm, boot): merging.OpenRun(
-                sequence,
-                {
-                    team: merging.TeamCount(count, missing / 1000)
-                    for team, (count, missing) in counts.items()
-                },
-            )
-            for vm, boot, sequence, counts in _decode(_open_decoder, open_runs)
-        },
+        _decode(_counts_decoder, teams), decode_runs(final_runs), found
     )
 
 
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -289,6 +289,10 @@
         except exceptions.ConnectionLostError as error:
             _check_not_begun(rows, str(error))
             raise
+        except exceptions.NotSentError:
+            if usage_counter is not None:
+                usage_counter.note_refused(context.team, sent_at)
+            raise
         finally:
             pool.load.end(call_number, clock.now(), answer is not None)
             if answer is None:
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -261,11 +261,20 @@
         with trio.move_on_at(began_at + grace_s * STATEMENT_GRACE_SHARE):
             await self._lender.wait_idle()
         if self.usage_collection is not None:
-            with trio.move_on_after(USAGE_GRACE_S):
-                await self.usage_collection.finish()
-        with trio.move_on_after(CHECK_INTERVAL_S * 5):
+            async with trio.open_nursery() as nursery:
+                nursery.cancel_scope.deadline = (
+                    trio.current_time() + USAGE_GRACE_S
+                )
+                supervision.Supervisor(nursery).start_soon(
+                    self.usage_collection.finish
+                )
+        async with trio.open_nursery() as nursery:
+            nursery.cancel_scope.deadline = (
+                trio.current_time() + CHECK_INTERVAL_S * 5
+            )
             if self._usage_reporting is not None:
-                await self._usage_reporting.leave()
+                supervisor = supervision.Supervisor(nursery)
+                supervisor.start_soon(self._usage_reporting.leave)
             await self._membership.leave()
         self._node.pools.close_idle()
 
--- a/src/geraniumridge/_internal/proxy/load_exchange.py
+++ b/src/geraniumridge/_internal/proxy/load_exchange.py
@@ -21,6 +21,9 @@
 """Reports that a domain's reader gets in a second at most. The VMs of a
 larger domain report less often."""
 
+MAX_CALLS_PER_SLOT = 16
+"""Most calls per slot of a target that one VM's report counts."""
+
 MAX_REPORT_INTERVAL_S = 1.0
 """Longest interval between reports, well below the age from which they are
 dropped."""
@@ -98,7 +101,11 @@
             return []
         now = clock.now()
         view = self._node.view
-        reported = [item for item in reported if item.target in view.targets]
+        reported = [
+            self._limit_calls(item)
+            for item in reported
+            if item.target in view.targets
+        ]
         self._node.load_reports.note_report(vm, reported, now)
         groups = dict.fromkeys(
             view.targets[item.target].group for item in reported
@@ -120,6 +127,15 @@
         if found:
             self._node.load_reports.note_answer(found, clock.now())
 
+    def _limit_calls(self, item):
+        """Return an occupancy without more calls than a target may hold.
+
+        A VM with a fault could otherwise make its targets seem full to all.
+        """
+        target = self._node.view.targets[item.target]
+        most = MAX_CALLS_PER_SLOT * max(1, target.slots)
+        return item._replace(calls=min(item.calls, most))
+
     def _is_draw_needed(self, group):
         view = self._node.view
         return choice.is_draw_needed(len(view.members), view.list_group(group))
--- a/src/geraniumridge/_internal/proxy/standby.py
+++ b/src/geraniumridge/_internal/proxy/standby.py
@@ -10,9 +10,10 @@
 """Timeout of a renewal within one region; the limiter may be in another
 domain."""
 
-MAX_ANSWER_TIMEOUT_S = rates.FAST_FALLBACK_DELAY_S
-"""Longest timeout of a renewal with a limiter in another region; a later
-answer does not prevent the use of the fallback rate."""
+MAX_ANSWER_TIMEOUT_S = rates.FAST_FALLBACK_DELAY_S / rates.RENEWALS_PER_DELAY
+"""Longest timeout of a renewal with a limiter in another region. Answers that
+took longer would arrive after the fallback rate has begun to apply, and the
+limiter would not know that it is in use."""
 
 
 class Standby:
--- a/src/geraniumridge/_internal/proxy/usage/collection.py
+++ b/src/geraniumridge/_internal/proxy/usage/collection.py
@@ -406,11 +406,11 @@
             forwarded_at = self._forwarded_at.get(window, -math.inf)
             if now < forwarded_at + FORWARD_INTERVAL_S:
                 continue
+            self._forwarded_at[window] = now
             excluded = self._excluded.get(window, frozenset())
             sums = self._collected.make_sums(window, self._is_alive, excluded)
             if sums is None or self._forwarded.get(window) == sums:
                 continue
-            self._forwarded_at[window] = now
             if is_own:
                 conflicts = self._add_sums(self._own_run, window, sums)
             else:
--- a/src/geraniumridge/_internal/proxy/usage/reporting.py
+++ b/src/geraniumridge/_internal/proxy/usage/reporting.py
@@ -56,8 +56,8 @@
         Collected counts; has `make_report(window)` and
         `set_reporter(vm_name)`.
     usage_clock : object
-        Windows by true time; has `get_window(now)`, None while the time is
-        not known, and `get_end(window)`.
+        Windows by true time; has `window_s`, `is_settled`,
+        `get_window(now)` and `get_end(window)`.
     """
 
     def __init__(self, node, store, receiver, collection, usage_clock):
@@ -105,7 +105,7 @@
     async def _check(self):
         now = clock.now()
         self._announce_reporter()
-        if self._clock.get_window(now) is None:
+        if not self._clock.is_settled:
             return
         age_s = window_queue.find_newest_age(
             now, self._clock, self._node.view.usage_records
@@ -185,6 +185,9 @@
     async def _record_due(self):
         """Decide and record the windows that have ended."""
         queue = self._queue
+        passed_over = queue.pass_over_old(clock.now())
+        if passed_over:
+            _log("usage windows passed over", windows=passed_over)
         while queue is self._queue and clock.now() >= self._record_at:
             window = queue.find_window(clock.now())
             if window is None or not await self._record(queue, window):
--- a/tests/functional/test_proxy_usage_reports.py
+++ b/tests/functional/test_proxy_usage_reports.py
@@ -28,6 +28,8 @@
         self._count = 0
         self.reporter = None
         self.counter = None
+        self.is_settled = True
+        self.window_s = USAGE.window_s
 
     def start(self, supervisor):
         """Do nothing; there are no tasks."""
--- a/tests/unit/network/test_usage_parts.py
+++ b/tests/unit/network/test_usage_parts.py
@@ -104,3 +104,20 @@
             decode(pass_through_datagram(data))
         except exceptions.ProtocolError:
             pass
+
+
+def test_open_run_with_many_teams_loses_none():
+    """Guards against counts of a run that vanish between two entries."""
+    run = merging.Run("vm", "b")
+    for team_count in range(400, 1_000):
+        teams = {
+            f"team-{number:03}": merging.TeamCount(number, 0.0)
+            for number in range(team_count)
+        }
+        open_runs = {run: merging.OpenRun(1, teams)}
+        sums = merging.WindowSums({}, frozenset(), open_runs)
+        parts = [
+            usage_parts.decode_sums(*part)
+            for part in usage_parts.split_sums(sums)
+        ]
+        assert usage_parts.join_sums(parts) == sums
