--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -66,6 +66,31 @@
     limit_slack: settings.NonNegativeFloat = 0.0
 
 
+class CallerSettings(typing.NamedTuple):
+    """Bounds on what callers' connections hold and how long they stall.
+
+    `memory_mb` and `max_descriptors` are those of the VM; the bounds that are
+    not set follow from them. All callers together hold at most `total_bytes`,
+    one at most `connection_bytes`, and its session values and prepared
+    statements at most `state_bytes`. There are at most `max_connections`
+    callers' connections, and `max_http_connections` on each of the readiness
+    and metrics ports. A connection has `startup_timeout_s` for its STARTUP,
+    `progress_timeout_s` for each part of a message, and `send_timeout_s` to
+    accept each part of an answer.
+    """
+
+    memory_mb: settings.PositiveFloat | None = None
+    max_descriptors: settings.PositiveInt | None = None
+    total_bytes: settings.PositiveInt | None = None
+    connection_bytes: settings.PositiveInt | None = None
+    state_bytes: settings.PositiveInt | None = None
+    max_connections: settings.PositiveInt | None = None
+    max_http_connections: settings.PositiveInt = 32
+    startup_timeout_s: settings.PositiveFloat = 10.0
+    progress_timeout_s: settings.PositiveFloat = 10.0
+    send_timeout_s: settings.PositiveFloat = 5.0
+
+
 class ProxySettings(typing.NamedTuple):
     """All settings; `regions` maps failure domains to regions."""
 
@@ -73,6 +98,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     bounds: BoundSettings = BoundSettings()
+    callers: CallerSettings = CallerSettings()
     regions: dict[str, str] = {}
     log: settings.LogSettings = settings.LogSettings()
 
