Bound what callers hold, by connection and by process

Cause: each connection was bounded (a message of 1 MiB, an answer of 1 MiB held), but nothing bounded their sum, the session state, the number of connections, or what former sessions leave on pooled connections; an HTTP port read bodies of 1 MB that nobody needs, and a limiter kept an entry for every domain that a datagram named.

Ruled out: statements that are sent ahead.

Change: decisions/caller_budget.py keeps an account of each connection, and proxy/caller_accounts.py waits for room. Rows of large answers take budget, and what a row takes in memory counts for when rows are passed on. A pooled connection with more than 128 KiB of session state is closed on release. The HTTP ports accept 1 KiB of body and close the oldest connection at their bound. A limiter ignores unknown domains, and a confirmation of an unknown VM is dropped. A line of exactly 1 MiB whose end arrives in two pieces is no longer refused.

Changed tests: the case with all kinds of abuse writes its large row before the crowds start, as the connection that wrote it met the bound on connections; crowd and bounds are as they were. The node of test_datagram_handlers.py has metrics, which the limiter now counts in. The deployment template's test knows the two new fields.

--- a/src/geraniumridge/_internal/exceptions.py
+++ b/src/geraniumridge/_internal/exceptions.py
@@ -47,6 +47,13 @@
     """Input from the other side that violates the protocol."""
 
 
+class CallerBoundError(GeraniumridgeError):
+    """A caller's connection would exceed one of its own bounds.
+
+    The argument is the name of the bound in the settings.
+    """
+
+
 class AnswerInterruptedError(GeraniumridgeError):
     """Answer of which a caller has received some rows but not the end."""
 
--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -3,10 +3,12 @@
 The daemon with the HTTP interface reads `models.settings`.
 """
 
+import math
 import typing
 
 import msgspec
 
+from geraniumridge._internal.decisions import caller_budget
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import settings
 from geraniumridge._internal.utils import codec
@@ -129,8 +131,22 @@
     """
     data = settings.read_toml(path)
     found = codec.decode(ProxySettings, data, path)
-    if found.listen.last_peer_port < found.listen.first_peer_port:
-        raise exceptions.SettingsError(
-            path, ["listen.last_peer_port: Must not be below first_peer_port"]
-        )
+    problems = list(_cross_check(found))
+    if problems:
+        raise exceptions.SettingsError(path, problems)
     return found
+
+
+def _cross_check(found):
+    if found.listen.last_peer_port < found.listen.first_peer_port:
+        yield "listen.last_peer_port: Must not be below first_peer_port"
+    least = caller_budget.MIN_CONNECTION_BYTES
+    for key in ("total_bytes", "connection_bytes"):
+        value = getattr(found.callers, key)
+        if value is not None and value < least:
+            yield f"callers.{key}: Must be at least {least}"
+    bounds = caller_budget.derive_bounds(found.callers, math.inf)
+    if bounds.connection_bytes > bounds.total_bytes:
+        yield "callers.connection_bytes: Must not exceed total_bytes"
+    if bounds.state_bytes > bounds.connection_bytes:
+        yield "callers.state_bytes: Must not exceed connection_bytes"
--- a/src/geraniumridge/_internal/network/http.py
+++ b/src/geraniumridge/_internal/network/http.py
@@ -74,6 +74,10 @@
     send_timeout_s: float = 10.0
 
 
+NO_BODY_LIMITS = ServerLimits(max_body_bytes=1_024, head_timeout_s=5.0)
+"""Limits where no request has a body that is read."""
+
+
 class ServerConnection:
     """Server side of one connection, which serves requests in sequence.
 
@@ -114,7 +118,11 @@
     def close_idle(self):
         """Close the connection if it is idle."""
         if self._is_idle:
-            self._deadline_scope.cancel()
+            self.close()
+
+    def close(self):
+        """Close the connection."""
+        self._deadline_scope.cancel()
 
     async def run(self):
         """Serve until the caller disconnects or a timeout expires."""
@@ -250,9 +258,20 @@
         await self._stream.send_all(data)
 
 
-async def serve(nursery, address, handler, tls=None):
+async def serve(
+    nursery,
+    address,
+    handler,
+    tls=None,
+    limits=ServerLimits(),
+    max_connections=math.inf,
+    on_replaced=None,
+):
     """Listen on an address and answer the requests of each connection.
 
+    At the bound on connections the oldest one is closed, so that a crowd of
+    idle ones keeps nobody out.
+
     Parameters
     ----------
     nursery : trio.Nursery
@@ -263,15 +282,34 @@
         Async function from `Request` to `Response`.
     tls : ssl.SSLContext, optional
         Server context.
+    limits : ServerLimits, optional
+        Limits of each connection.
+    max_connections : int, optional
+        Bound on open connections.
+    on_replaced : callable, optional
+        Called without arguments when one is closed at the bound.
 
     Returns
     -------
     trio.CancelScope
         Cancel it to close the listener; open connections stay open.
     """
+    connections = {}
 
     async def serve_connection(stream):
-        await ServerConnection(stream, handler).run()
+        if len(connections) >= max_connections:
+            oldest = next(iter(connections))
+            # It leaves at once, so that each newer one closes another.
+            del connections[oldest]
+            oldest.close()
+            if on_replaced is not None:
+                on_replaced()
+        connection = ServerConnection(stream, handler, limits)
+        connections[connection] = None
+        try:
+            await connection.run()
+        finally:
+            connections.pop(connection, None)
 
     return await streams.serve(nursery, address, serve_connection, tls)
 
--- a/src/geraniumridge/_internal/ports/targets.py
+++ b/src/geraniumridge/_internal/ports/targets.py
@@ -15,12 +15,15 @@
     position that the target's log must have reached. `send_rows` is an
     async function that takes the rows of a large answer, in parts; the
     answer then has the remaining ones. Without it the answer has all.
+    `hold_rows` is an async function of the number of bytes of rows that are
+    held from then on; it returns once there is room for them.
     """
 
     id: str
     text: bytes
     min_position: records.LogPosition | None = None
     send_rows: typing.Callable | None = None
+    hold_rows: typing.Callable | None = None
 
 
 class Link(typing.Protocol):
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -252,6 +252,7 @@
             context.statement.text,
             min_position,
             rows.send_rows,
+            rows.hold_rows,
         )
         sent_at = clock.now()
         call_number = pool.load.begin(sent_at)
--- a/src/geraniumridge/_internal/proxy/daemon.py
+++ b/src/geraniumridge/_internal/proxy/daemon.py
@@ -9,6 +9,7 @@
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.proxy import acknowledgement_exchange
+from geraniumridge._internal.proxy import caller_accounts
 from geraniumridge._internal.proxy import failover
 from geraniumridge._internal.proxy import follower
 from geraniumridge._internal.proxy import lease_relay
@@ -71,6 +72,9 @@
         self._is_stopping = False
         self._stop_scopes = set()
         self._sessions = set()
+        self.caller_accounts = caller_accounts.CallerAccounts(
+            node.settings.callers, node.metrics
+        )
         self._peers = datagrams.Peers(node.settings.peer_address)
         self._view_exchange = view_exchange.ViewExchange(node, self._peers)
         self._follower = follower.StoreFollower(
@@ -143,7 +147,12 @@
             with trio.move_on_after(FIRST_VIEW_TIMEOUT_S):
                 while self._node.view.state is None:
                     await self._view_changed.wait()
-        new_session = session.Session(self._node, database, key)
+        new_session = session.Session(
+            self._node,
+            database,
+            key,
+            self.caller_accounts.budget.bounds.state_bytes,
+        )
         refusal = new_session.check_start()
         if refusal is not None:
             return None, session.make_refusal(
--- a/src/geraniumridge/_internal/proxy/limiter.py
+++ b/src/geraniumridge/_internal/proxy/limiter.py
@@ -87,8 +87,9 @@
         )
 
     async def _answer_token_request(self, message, sender):
+        domain = self._check_domain(message.domain)
         grant = self.grant(
-            message.number, message.team, message.wanted, message.domain
+            message.number, message.team, message.wanted, domain or ""
         )
         await self._peers.send(grant, sender)
 
@@ -96,7 +97,9 @@
         renewal = rates.FallbackRenewal(
             message.rate / FALLBACK_RATE_SCALE, message.is_in_use
         )
-        rate = self.renew_fallback(message.team, message.domain, renewal)
+        rate = None
+        if self._check_domain(message.domain) is not None:
+            rate = self.renew_fallback(message.team, message.domain, renewal)
         answer = datagrams.messages.FallbackGrant(
             number=message.number,
             is_owner=rate is not None,
@@ -104,6 +107,22 @@
         )
         await self._peers.send(answer, sender)
 
+    def _check_domain(self, domain):
+        """Return a failure domain, None if it is unknown.
+
+        A bucket keeps an entry for each domain, so it must not get one for
+        whatever name a datagram has.
+        """
+        node = self._node
+        if domain in node.settings.regions or any(
+            member.domain == domain for member in node.view.members.values()
+        ):
+            return domain
+        if domain:
+            # Senders without a domain are of a version that has no field.
+            node.metrics.count("datagrams_ignored:domain")
+        return None
+
     def _find_limit(self, team, now):
         """Return the team's limit if this VM may grant tokens of it."""
         state = self._node.view.state
--- a/src/geraniumridge/_internal/proxy/metrics_server.py
+++ b/src/geraniumridge/_internal/proxy/metrics_server.py
@@ -16,14 +16,27 @@
     ----------
     node : proxy.node.Node
         State of the VM.
+    accounts : proxy.caller_accounts.CallerAccounts
+        What callers hold.
     """
 
-    def __init__(self, node):
+    def __init__(self, node, accounts):
         self._node = node
+        self._accounts = accounts
 
     async def start(self, nursery, address):
         """Listen on ``IP:port``."""
-        await http.serve(nursery, address, self._answer)
+        await http.serve(
+            nursery,
+            address,
+            self._answer,
+            limits=http.NO_BODY_LIMITS,
+            max_connections=self._accounts.settings.max_http_connections,
+            on_replaced=self._note_replaced,
+        )
+
+    def _note_replaced(self):
+        self._accounts.count_closed("max_http_connections")
 
     async def _answer(self, request):
         if request.path != METRICS_PATH:
@@ -46,6 +59,8 @@
             "targets": len(node.view.targets),
             "target_connections": node.pools.size,
             "idle_target_connections": node.pools.idle_count,
+            "caller_connections": self._accounts.budget.connection_count,
+            "caller_bytes": self._accounts.budget.total,
         }
         if node.view.state is not None:
             gauges["desired_version"] = node.view.state.version
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -65,8 +65,8 @@
             self.confirmations,
             settings.bounds.departure_ms / 1000 * DEREGISTERED_USE_SHARE,
         )
-        self.pools = pool.ConnectionPools(dialect)
         self.metrics = metrics.MetricsRegistry()
+        self.pools = pool.ConnectionPools(dialect, self.metrics)
         self.limits = None
         self.position_exchange = None
         self.lease_until = -math.inf
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import sys
 
 import trio
 
@@ -14,6 +15,7 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.utils import clock
+from geraniumridge._internal.utils import metrics
 
 logger = logging.getLogger(__name__)
 
@@ -36,6 +38,11 @@
 """Pause after a target refused a connection because its limit was
 reached."""
 
+MAX_POOLED_STATE_BYTES = 131_072
+"""Session values and prepared statements on a connection above which it is
+closed on release. They stay after their session has ended, until the next one
+that uses the connection replaces them."""
+
 
 class PooledConnection:
     """A connection with the session state that was restored on it.
@@ -56,8 +63,30 @@
         self.team = team
         self.values = {}
         self.prepared = {}
+        self.state_bytes = 0
         self.idle_since = 0.0
 
+    def clear_state(self):
+        """Note that the target dropped the session state."""
+        self.values.clear()
+        self.prepared.clear()
+        self.state_bytes = 0
+
+    def note_value(self, name, value):
+        """Note a session value that the target gets."""
+        self._note(self.values, name, value)
+
+    def note_prepared(self, name, definition):
+        """Note a prepared statement that the target gets."""
+        self._note(self.prepared, name, definition)
+
+    def _note(self, texts, name, text):
+        former = texts.get(name, "")
+        texts[name] = text
+        self.state_bytes += sys.getsizeof(text) - sys.getsizeof(former)
+        if not former:
+            self.state_bytes += sys.getsizeof(name)
+
 
 class ConnectionPool:
     """Pool of connections to one target.
@@ -66,10 +95,13 @@
     ----------
     dialect : ports.targets.Dialect
         Protocol of the target.
+    registry : utils.metrics.MetricsRegistry, optional
+        Counts the connections that are closed for their session state.
     """
 
-    def __init__(self, dialect):
+    def __init__(self, dialect, registry=None):
         self._dialect = dialect
+        self._metrics = registry or metrics.MetricsRegistry()
         self._idle = []
         self._busy = set()
         self._opening = 0
@@ -142,6 +174,9 @@
         self._busy.discard(connection)
         if not connection.link.is_open:
             connection.link.abort()
+        elif connection.state_bytes > MAX_POOLED_STATE_BYTES:
+            self._metrics.count("target_connections_closed:state_bytes")
+            connection.link.abort()
         else:
             connection.idle_since = clock.now()
             self._idle.append(connection)
@@ -271,10 +306,13 @@
     ----------
     dialect : ports.targets.Dialect
         Protocol of the targets.
+    registry : utils.metrics.MetricsRegistry, optional
+        See `ConnectionPool`.
     """
 
-    def __init__(self, dialect):
+    def __init__(self, dialect, registry=None):
         self._dialect = dialect
+        self._metrics = registry or metrics.MetricsRegistry()
         self._pools = {}
 
     @property
@@ -291,7 +329,7 @@
         """Return the pool of a target; create it on first use."""
         pool = self._pools.get(target_id)
         if pool is None:
-            pool = ConnectionPool(self._dialect)
+            pool = ConnectionPool(self._dialect, self._metrics)
             self._pools[target_id] = pool
         return pool
 
--- a/src/geraniumridge/_internal/proxy/quorum_exchange.py
+++ b/src/geraniumridge/_internal/proxy/quorum_exchange.py
@@ -86,6 +86,9 @@
     async def _note_answer(self, message, sender):
         if message.number != self._request_number:
             return
+        if message.vm not in self._node.view.members:
+            # One answer is kept for each name.
+            return
         newer = frozenset(message.groups) if message.is_whole else None
         self._node.confirmations.add(
             message.vm, quorum.Confirmation(self._requested_at, newer)
--- a/src/geraniumridge/_internal/proxy/row_stream.py
+++ b/src/geraniumridge/_internal/proxy/row_stream.py
@@ -11,10 +11,13 @@
         its rows.
     started_at : float
         Time on trio's clock, in seconds, at which the statement arrived.
+    hold : callable, optional
+        See `ports.targets.Call.hold_rows`.
     """
 
-    def __init__(self, send=None, started_at=0.0):
+    def __init__(self, send=None, started_at=0.0, hold=None):
         self._send = send
+        self._hold = hold
         self._started_at = started_at
         self._has_begun = False
         self._on_begin = None
@@ -37,6 +40,11 @@
         """The function for `ports.targets.Call.send_rows`."""
         return None if self._send is None else self._pass_on
 
+    @property
+    def hold_rows(self):
+        """The function for `ports.targets.Call.hold_rows`."""
+        return self._hold
+
     def extend_on_begin(self, scope, deadline):
         """Move a scope's deadline to a later one with the first rows.
 
--- a/src/geraniumridge/_internal/proxy/session.py
+++ b/src/geraniumridge/_internal/proxy/session.py
@@ -1,10 +1,12 @@
 """Sessions of callers, and the handlers of their statements."""
 
 import logging
+import sys
 import typing
 
 import trio
 
+from geraniumridge._internal import exceptions
 from geraniumridge._internal.kernel import registry
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.proxy import admission
@@ -22,6 +24,14 @@
 Verb = statements.Verb
 
 
+ENTRY_BYTES = 256
+"""Bytes counted for a session value or prepared statement besides its texts,
+so that empty ones are bounded too."""
+
+MAX_LOGGED_CHARS = 200
+"""Length to which texts of a caller are cut in the log."""
+
+
 class PreparedStatement(typing.NamedTuple):
     """A prepared statement.
 
@@ -44,9 +54,11 @@
         Database that the caller connected to.
     key : str
         The caller's key.
+    max_state_bytes : int, optional
+        Bound on session values and prepared statements.
     """
 
-    def __init__(self, node, database, key):
+    def __init__(self, node, database, key, max_state_bytes=sys.maxsize):
         self._node = node
         self._admission = admission.Admission(node, database, key)
         self._autocommit = autocommit.AutocommitRunner(node)
@@ -55,6 +67,8 @@
         self._is_running = False
         self._commit_positions = {}
         self._row_stream = row_stream.RowStream()
+        self._max_state_bytes = max_state_bytes
+        self._state_bytes = 0
         self.values = {}
         self.prepared = {}
 
@@ -80,6 +94,11 @@
         """The `row_stream.RowStream` of the running statement."""
         return self._row_stream
 
+    @property
+    def state_bytes(self):
+        """Bytes of the session values and prepared statements."""
+        return self._state_bytes
+
     @property
     def idle_limit_s(self):
         """Idle timeout of the open transaction in seconds, or None."""
@@ -107,7 +126,7 @@
         """Return the `Outcome` that ends an admitted operation, or None."""
         return self._admission.check_key(route, team)
 
-    async def execute(self, statement, send_rows=None):
+    async def execute(self, statement, send_rows=None, hold_rows=None):
         """Run one statement and return its `statements.Answer`.
 
         Parameters
@@ -117,14 +136,20 @@
         send_rows : callable, optional
             Async function that sends rows of a large answer to the caller;
             the returned answer lacks them.
+        hold_rows : callable, optional
+            See `ports.targets.Call.hold_rows`.
 
         Raises
         ------
+        exceptions.CallerBoundError
+            If the session would have too many values or prepared statements.
         exceptions.AnswerInterruptedError
             If an answer failed of which the caller has received rows.
         """
         began_at = clock.now()
-        self._row_stream = row_stream.RowStream(send_rows, trio.current_time())
+        self._row_stream = row_stream.RowStream(
+            send_rows, trio.current_time(), hold_rows
+        )
         self._is_running = True
         try:
             answer = await self._run_handler(statement)
@@ -160,12 +185,12 @@
             "statement finished",
             extra={
                 "event": "served" if answer.is_success else "refused",
-                "request": statement.id,
+                "request": statement.id[:MAX_LOGGED_CHARS],
                 "verb": statement.verb.value,
                 "database": self._admission.database,
                 "team": team,
                 "outcome": answer.outcome and answer.outcome.value,
-                "why": answer.detail,
+                "why": answer.detail[:MAX_LOGGED_CHARS],
                 "took_ms": round(took_s * 1000, 1),
                 "age_s": round(self._node.view_age.get_age(clock.now()), 2),
                 "version": self._node.view.state.version,
@@ -191,11 +216,18 @@
 
     @HANDLERS_BY_VERB.register(Verb.SET)
     async def _set(self, statement):
+        self._count_state(
+            statement.name, self.values.get(statement.name), statement.detail
+        )
         self.values[statement.name] = statement.detail
         return statements.Answer()
 
     @HANDLERS_BY_VERB.register(Verb.PREPARE)
     async def _prepare(self, statement):
+        former = self.prepared.get(statement.name)
+        self._count_state(
+            statement.name, former and former.definition, statement.detail
+        )
         self.prepared[statement.name] = PreparedStatement(
             statement.detail, statement.is_write
         )
@@ -203,10 +235,23 @@
 
     @HANDLERS_BY_VERB.register(Verb.DEALLOCATE)
     async def _deallocate(self, statement):
-        if self.prepared.pop(statement.name, None) is None:
+        former = self.prepared.pop(statement.name, None)
+        if former is None:
             return make_refusal(Outcome.UNKNOWN_STATEMENT, statement.name)
+        self._state_bytes -= count_entry_bytes(
+            statement.name, former.definition
+        )
         return statements.Answer()
 
+    def _count_state(self, name, former, text):
+        """Count a value or prepared statement that replaces a former one."""
+        added = count_entry_bytes(name, text)
+        if former is not None:
+            added -= count_entry_bytes(name, former)
+        if self._state_bytes + added > self._max_state_bytes:
+            raise exceptions.CallerBoundError("state_bytes")
+        self._state_bytes += added
+
     @HANDLERS_BY_VERB.register(Verb.BEGIN)
     async def _begin(self, statement):
         if self._transaction is not None:
@@ -304,6 +349,11 @@
         return answer
 
 
+def count_entry_bytes(name, text):
+    """Return the bytes of a session value or prepared statement."""
+    return ENTRY_BYTES + sys.getsizeof(name) + sys.getsizeof(text)
+
+
 def make_refusal(outcome, detail):
     """Return the answer that refuses a statement."""
     return statements.Answer(outcome=outcome, detail=detail)
--- a/src/geraniumridge/_internal/proxy/session_state.py
+++ b/src/geraniumridge/_internal/proxy/session_state.py
@@ -33,12 +33,11 @@
     texts = []
     if connection.values.keys() - session.values.keys():
         texts.append(dialect.format_reset())
-        connection.values.clear()
-        connection.prepared.clear()
+        connection.clear_state()
     for name, value in session.values.items():
         if connection.values.get(name) != value:
             texts.append(dialect.format_set_value(name, value))
-            connection.values[name] = value
+            connection.note_value(name, value)
     if statement.verb is statements.Verb.EXECUTE:
         texts.extend(
             _list_prepare_texts(dialect, connection, session, statement)
@@ -77,4 +76,4 @@
     if known is not None:
         yield dialect.format_deallocate(name)
     yield dialect.format_prepare(name, wanted)
-    connection.prepared[name] = wanted
+    connection.note_prepared(name, wanted)
--- a/tests/functional/test_proxy_abuse.py
+++ b/tests/functional/test_proxy_abuse.py
@@ -385,13 +385,15 @@
     run_abuse(open_idle_sessions, tmp_path)
 
 
-async def read_slowly(proxy):
+async def write_large_row(proxy):
     writer = proxies.Caller(proxy.listen.callers)
     await writer.open()
     await writer.start_session("orders", "key")
     assert is_success(await writer.query("WRITE big " + "x" * 900_000))
     await writer.close()
 
+
+async def read_slowly(proxy):
     async def behave(number):
         async with open_stream(
             proxy.listen.callers, receive_buffer=4096
@@ -408,7 +410,12 @@
 
 def test_crowd_that_reads_large_answers_one_byte_a_second(tmp_path):
     """Answers that wait for their callers add up."""
-    run_abuse(read_slowly, tmp_path)
+
+    async def abuse(proxy):
+        await write_large_row(proxy)
+        await read_slowly(proxy)
+
+    run_abuse(abuse, tmp_path)
 
 
 async def leave_transactions_open(proxy):
@@ -543,6 +550,7 @@
         caller = proxies.Caller(proxy.listen.callers)
         await caller.open()
         assert await caller.start_session("orders", "key") == "READY I -"
+        await write_large_row(proxy)
         served = 0
         async with trio.open_nursery() as nursery:
             async with trio.open_nursery() as crowds:
--- a/tests/unit/models/test_proxy_settings.py
+++ b/tests/unit/models/test_proxy_settings.py
@@ -76,6 +76,12 @@
         "bounds.quotaSlack": "20",
         "#bounds.quotaSlack": "",
         "/bounds.quotaSlack": "",
+        "limits.memoryMb": "200",
+        "#limits.memoryMb": "",
+        "/limits.memoryMb": "",
+        "limits.maxFds": "4300",
+        "#limits.maxFds": "",
+        "/limits.maxFds": "",
         "#zones": "",
         "/zones": "",
         "@": "north",
@@ -90,3 +96,23 @@
     assert found.regions == {"north": "east"}
     assert found.bounds.withdrawal_ms == 5000
     assert found.bounds.limit_slack == 20
+    assert found.callers.memory_mb == 200
+    assert found.callers.max_descriptors == 4300
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("total_bytes = 1000", "callers.total_bytes: Must be at least"),
+        ("connection_bytes = 9", "callers.connection_bytes: Must be at least"),
+        ("connection_bytes = 90000000", "Must not exceed total_bytes"),
+        ("state_bytes = 90000000", "Must not exceed connection_bytes"),
+        ("memory_mb = 0", "callers.memory_mb"),
+        ("max_connections = 0", "callers.max_connections"),
+        ("odd = 1", "callers.odd: Unknown key"),
+    ],
+)
+def test_bounds_on_callers_are_checked(tmp_path, text, named):
+    with pytest.raises(exceptions.SettingsError) as caught:
+        load(tmp_path, f"{GOOD}[callers]\n{text}\n")
+    assert named in str(caught.value)
--- a/tests/unit/platform/test_lines.py
+++ b/tests/unit/platform/test_lines.py
@@ -48,6 +48,86 @@
         buffer.next_line()
 
 
+def feed_pieces(buffer, data, sizes):
+    """Feed data in pieces; return the lines and whether it was refused."""
+    found = []
+    position = 0
+    for size in [*sizes, len(data)]:
+        buffer.feed(data[position : position + size])
+        position += size
+        try:
+            found.extend(read_all(buffer))
+        except exceptions.ProtocolError:
+            return found, True
+        if position >= len(data):
+            break
+    return found, False
+
+
+@given(
+    st.lists(st.sampled_from([b"\r\n", b"\r", b"\n", b"x", b"xxxxxxx"])),
+    st.lists(st.integers(1, 5)),
+)
+def test_any_bytes_in_any_pieces_end_in_lines_or_an_error(parts, sizes):
+    """A sequence that is neither would make the buffer grow without end."""
+    data = b"".join(parts)
+    buffer = lines.LineBuffer(max_line_bytes=8)
+    found, is_refused = feed_pieces(buffer, data, sizes)
+    *whole, rest = data.split(lines.LINE_END)
+    if is_refused:
+        assert any(len(line) > 8 for line in (*whole, rest))
+        assert found == whole[: len(found)]
+    else:
+        assert found == whole
+        assert all(len(line) <= 8 for line in whole)
+        # The line may be complete but for half of its end.
+        assert len(buffer) == len(rest) <= 9
+
+
+@given(st.integers(0, 12), st.integers(1, 4))
+def test_whether_a_line_is_too_long_does_not_depend_on_the_pieces(
+    length, size
+):
+    """A longest line was refused if its end arrived in two pieces."""
+    data = b"x" * length + lines.LINE_END
+    buffer = lines.LineBuffer(max_line_bytes=8)
+    found, is_refused = feed_pieces(buffer, data, [size] * len(data))
+    assert is_refused == (length > 8)
+    assert found == ([] if is_refused else [b"x" * length])
+
+
+class CountingBytes(bytearray):
+    """Buffer that counts the bytes that are searched."""
+
+    searched = 0
+
+    def find(self, wanted, start=0):
+        self.searched += len(self) - start
+        return super().find(wanted, start)
+
+
+def test_pieces_of_one_byte_are_searched_once():
+    """A search from the start for each piece has quadratic cost."""
+    buffer = lines.LineBuffer()
+    buffer._data = CountingBytes()
+    for _ in range(10_000):
+        buffer.feed(b"x")
+        assert buffer.next_line() is None
+    buffer.feed(lines.LINE_END)
+    searched = buffer._data.searched
+    assert buffer.next_line() == b"x" * 10_000
+    assert searched <= 3 * 10_000
+
+
+def test_cleared_buffer_holds_nothing():
+    buffer = lines.LineBuffer()
+    buffer.feed(b"x" * 100)
+    buffer.clear()
+    buffer.feed(b"a\r\n")
+    assert read_all(buffer) == [b"a"]
+    assert not buffer
+
+
 @given(st.binary(max_size=60))
 def test_arbitrary_bytes_parse_to_a_statement_or_none(data):
     found = lines.parse_statement(data)
--- a/tests/unit/proxy/test_datagram_handlers.py
+++ b/tests/unit/proxy/test_datagram_handlers.py
@@ -24,6 +24,7 @@
 from geraniumridge._internal.proxy import suspicion_exchange
 from geraniumridge._internal.proxy import view_exchange
 from geraniumridge._internal.utils import clock
+from geraniumridge._internal.utils import metrics
 from lib import fleets
 
 messages = datagrams.messages
@@ -169,6 +170,7 @@
             change_log=store_view.change_log,
         ),
         view_age=age,
+        metrics=metrics.MetricsRegistry(),
         confirmations=quorum.QuorumConfirmations(),
         acknowledgements=succession.Acknowledgements(),
         lease_until=now + 3600,
