--- a/src/geraniumridge/_internal/proxy/caller_accounts.py
+++ b/src/geraniumridge/_internal/proxy/caller_accounts.py
@@ -47,8 +47,10 @@
 
     def close(self, account):
         """Free all that a connection held."""
+        had_bytes = account.held > 0
         self.budget.close(account)
-        self._freed.set()
+        if had_bytes:
+            self._freed.set()
 
     def note_progress(self, account):
         """Note that a caller sent or accepted a part of a message."""
@@ -72,8 +74,13 @@
             return
         self._metrics.count("caller_budget_waits")
         async with self._turn:
+            # Bytes that others free do not restart the time, as too few of
+            # them, freed often, would postpone closing for ever.
+            shed_at = trio.current_time() + caller_budget.STALL_S
             while not self.budget.try_hold(account, kind, count):
-                await self._wait_freed()
+                if not await self._wait_freed(shed_at):
+                    self._shed()
+                    shed_at = trio.current_time() + caller_budget.STALL_S
 
     def release(self, account, kind, count=0):
         """Reduce the bytes of a kind to a number."""
@@ -81,12 +88,15 @@
             self.budget.try_hold(account, kind, count)
             self._freed.set()
 
-    async def _wait_freed(self):
-        """Wait until bytes are freed; close a connection if none are."""
+    async def _wait_freed(self, deadline):
+        """Wait until bytes are freed; return False if the time has passed."""
         self._freed = trio.Event()
-        with trio.move_on_after(caller_budget.STALL_S):
+        with trio.move_on_at(deadline) as scope:
             await self._freed.wait()
-            return
+        return not scope.cancelled_caught
+
+    def _shed(self):
+        """Close a connection to make room."""
         chosen = self.budget.choose_shed(trio.current_time())
         if chosen is not None:
             self._close(chosen, "total_bytes")
--- /dev/null
+++ b/tests/unit/proxy/test_caller_accounts.py
@@ -0,0 +1,81 @@
+"""Waiting for the budget of callers and closing of their connections."""
+
+import functools
+
+import pytest
+import trio
+import trio.testing
+
+from geraniumridge._internal.decisions import caller_budget
+from geraniumridge._internal.models import proxy_settings
+from geraniumridge._internal.proxy import caller_accounts
+from geraniumridge._internal.utils import metrics
+
+Kind = caller_budget.Kind
+MIB = caller_budget.MIB
+STALL_S = caller_budget.STALL_S
+SETTINGS = proxy_settings.CallerSettings(
+    total_bytes=8 * MIB, connection_bytes=8 * MIB, max_connections=100
+)
+
+
+class Callers:
+    """Accounts, and the connections that were closed for room."""
+
+    def __init__(self):
+        self.closed = []
+        self.accounts = caller_accounts.CallerAccounts(
+            SETTINGS, metrics.MetricsRegistry()
+        )
+
+    def open(self, name, closes_at_once=True):
+        """Return the account of a new connection with a session."""
+
+        def close():
+            self.closed.append(name)
+            if closes_at_once:
+                self.accounts.close(account)
+
+        account = self.accounts.open(close)
+        self.accounts.budget.note_started(account)
+        return account
+
+
+@pytest.fixture
+def run():
+    """Run an async function with a clock that jumps."""
+    return functools.partial(
+        trio.run, clock=trio.testing.MockClock(autojump_threshold=0)
+    )
+
+
+def test_connections_that_end_do_not_postpone_closing(run):
+    """Each ended connection restarted the time: the head waited for ever."""
+
+    async def end_connections(callers):
+        while True:
+            await trio.sleep(0.1)
+            callers.accounts.close(callers.open("ordinary"))
+
+    async def end_small_holders(callers):
+        while True:
+            await trio.sleep(0.1)
+            account = callers.open("small")
+            callers.accounts.budget.try_hold(account, Kind.RECEIVED, 1)
+            callers.accounts.close(account)
+
+    async def main(end):
+        callers = Callers()
+        large = callers.open("large")
+        await callers.accounts.hold(large, Kind.RECEIVED, 8 * MIB - 1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(end, callers)
+            with trio.fail_after(2 * STALL_S):
+                await callers.accounts.hold(
+                    callers.open("head"), Kind.RECEIVED, 2 * MIB
+                )
+            nursery.cancel_scope.cancel()
+        assert callers.closed == ["large"]
+
+    run(main, end_connections)
+    run(main, end_small_holders)
