Close connections only where that makes the room that is missing

Idle sessions with little state were closed in vain for what others hold, and one connection that closed slowly kept all others from being closed. The test of the order of closing now names the missing bytes, and expects a second connection only where the first frees too few.

--- a/src/geraniumridge/_internal/decisions/caller_budget.py
+++ b/src/geraniumridge/_internal/decisions/caller_budget.py
@@ -59,6 +59,10 @@
 STALL_S = 0.25
 """Time without progress after which a connection may be closed for room."""
 
+SHED_STATE_BYTES = 65_536
+"""Least session state for which a connection without other bytes is closed.
+Closing sessions with a few prepared statements frees too little."""
+
 STARTUP_GRACE_S = 0.5
 """Time that a connection has for its STARTUP before a newer one may take its
 place."""
@@ -235,24 +239,32 @@
             self._holders.discard(account)
         return True
 
-    def choose_shed(self, now):
+    def choose_shed(self, now, added):
         """Return the account whose connection has to be closed, or None.
 
         It holds most of those that made no progress for `STALL_S` and run
-        no statement. None is chosen while another one is being closed.
+        no statement. What connections that are being closed hold counts as
+        free. None is chosen if closing all candidates made too little room.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        added : int
+            Bytes for which there has to be room.
         """
-        if any(account.is_closing for account in self._holders):
-            return None
-        stalled = [
-            account
-            for account in self._holders
-            if not account.is_running
-            and now - account.progressed_at >= STALL_S
-        ]
-        if not stalled:
+        missing = self.total + added - self.bounds.total_bytes
+        candidates = []
+        for account in self._holders:
+            if account.is_closing:
+                missing -= account.held
+            elif _may_be_shed(account, now):
+                candidates.append(account)
+        if not 0 < missing <= sum(account.held for account in candidates):
             return None
         chosen = max(
-            stalled, key=lambda account: (account.held, -account.progressed_at)
+            candidates,
+            key=lambda account: (account.held, -account.progressed_at),
         )
         self._mark_closing(chosen)
         return chosen
@@ -269,3 +281,11 @@
     def _mark_closing(self, account):
         account.is_closing = True
         self._closing_count += 1
+
+
+def _may_be_shed(account, now):
+    """Return whether a connection may be closed for room."""
+    if account.is_running or now - account.progressed_at < STALL_S:
+        return False
+    state_bytes = account.amounts[Kind.STATE]
+    return account.held > state_bytes or state_bytes >= SHED_STATE_BYTES
--- a/src/geraniumridge/_internal/proxy/caller_accounts.py
+++ b/src/geraniumridge/_internal/proxy/caller_accounts.py
@@ -79,7 +79,7 @@
             shed_at = trio.current_time() + caller_budget.STALL_S
             while not self.budget.try_hold(account, kind, count):
                 if not await self._wait_freed(shed_at):
-                    self._shed()
+                    self._shed(count - account.amounts[kind])
                     shed_at = trio.current_time() + caller_budget.STALL_S
 
     def release(self, account, kind, count=0):
@@ -95,9 +95,9 @@
             await self._freed.wait()
         return not scope.cancelled_caught
 
-    def _shed(self):
-        """Close a connection to make room."""
-        chosen = self.budget.choose_shed(trio.current_time())
+    def _shed(self, added):
+        """Close a connection to make room for bytes."""
+        chosen = self.budget.choose_shed(trio.current_time(), added)
         if chosen is not None:
             self._close(chosen, "total_bytes")
 
--- a/tests/unit/decisions/test_caller_budget.py
+++ b/tests/unit/decisions/test_caller_budget.py
@@ -49,11 +49,39 @@
     for account, count in ((small, 10), (large, 30), (busy, 60)):
         assert budget.try_hold(account, Kind.RECEIVED, count)
     busy.is_running = True
-    assert budget.choose_shed(caller_budget.STALL_S) is large
-    # One at a time, until it has freed its bytes.
-    assert budget.choose_shed(caller_budget.STALL_S) is None
+    assert budget.choose_shed(caller_budget.STALL_S, 30) is large
+    # No further one, as closing the first makes enough room.
+    assert budget.choose_shed(caller_budget.STALL_S, 30) is None
+    assert budget.choose_shed(caller_budget.STALL_S, 31) is small
     budget.close(large)
-    assert budget.choose_shed(caller_budget.STALL_S) is small
+    budget.close(small)
+    assert budget.choose_shed(caller_budget.STALL_S, 41) is None
+
+
+def test_none_is_closed_where_too_little_room_would_be_made():
+    """Stalled callers were closed in vain for what a busy one holds."""
+    budget = caller_budget.CallerBudget(BOUNDS)
+    small, busy = open_accounts(budget, 2)
+    assert budget.try_hold(small, Kind.RECEIVED, 40)
+    assert budget.try_hold(busy, Kind.RECEIVED, 60)
+    busy.is_running = True
+    assert budget.choose_shed(caller_budget.STALL_S, 41) is None
+    assert budget.choose_shed(caller_budget.STALL_S, 40) is small
+
+
+def test_session_with_little_state_is_not_closed():
+    """Ordinary idle sessions were closed for what others hold."""
+    floor = caller_budget.SHED_STATE_BYTES
+    budget = caller_budget.CallerBudget(
+        caller_budget.CallerBounds(4 * floor, 4 * floor, 4 * floor, 3)
+    )
+    little, much = open_accounts(budget, 2)
+    assert budget.try_hold(little, Kind.STATE, floor - 1)
+    assert budget.try_hold(much, Kind.STATE, floor)
+    added = 3 * floor
+    assert budget.choose_shed(caller_budget.STALL_S, added) is much
+    budget.close(much)
+    assert budget.choose_shed(caller_budget.STALL_S, 4 * floor) is None
 
 
 def test_connection_that_makes_progress_is_not_closed():
@@ -61,13 +89,13 @@
     (account,) = open_accounts(budget, 1)
     assert budget.try_hold(account, Kind.RECEIVED, 60)
     account.progressed_at = 10.0
-    assert budget.choose_shed(10.1) is None
+    assert budget.choose_shed(10.1, 41) is None
 
 
 def test_idle_session_is_never_closed():
     budget = caller_budget.CallerBudget(BOUNDS)
     open_accounts(budget, 3)
-    assert budget.choose_shed(1e6) is None
+    assert budget.choose_shed(1e6, 101) is None
     assert budget.open(1e6) == (None, None)
 
 
@@ -107,7 +135,7 @@
                 accounts.remove(evicted)
                 budget.close(evicted)
         elif step == "shed":
-            chosen = budget.choose_shed(float(now))
+            chosen = budget.choose_shed(float(now), 101)
             if chosen is not None:
                 accounts.remove(chosen)
                 budget.close(chosen)
@@ -129,6 +157,10 @@
         )
         assert budget.connection_count == len(accounts)
         assert len(accounts) <= BOUNDS.max_connections
+    for account in accounts:
+        budget.close(account)
+        assert account.held == 0
+    assert budget.total == 0
 
 
 @pytest.mark.parametrize("memory_mb", [None, 200.0, 4000.0])
--- a/tests/unit/proxy/test_caller_accounts.py
+++ b/tests/unit/proxy/test_caller_accounts.py
@@ -79,3 +79,24 @@
 
     run(main, end_connections)
     run(main, end_small_holders)
+
+
+def test_bytes_of_closing_connections_count_as_free(run):
+    """One connection that closes slowly kept all others from being closed."""
+
+    async def main():
+        callers = Callers()
+        slow = callers.open("slow", closes_at_once=False)
+        quick = callers.open("quick")
+        await callers.accounts.hold(slow, Kind.RECEIVED, 5 * MIB)
+        await callers.accounts.hold(quick, Kind.RECEIVED, 3 * MIB)
+        head = callers.open("head")
+        with trio.move_on_after(3 * STALL_S):
+            await callers.accounts.hold(head, Kind.RECEIVED, 5 * MIB)
+        # Closing the first makes enough room.
+        assert callers.closed == ["slow"]
+        with trio.move_on_after(3 * STALL_S):
+            await callers.accounts.hold(head, Kind.RECEIVED, 6 * MIB)
+        assert callers.closed == ["slow", "quick"]
+
+    run(main)
