--- a/src/geraniumridge/_internal/decisions/caller_budget.py
+++ b/src/geraniumridge/_internal/decisions/caller_budget.py
@@ -124,7 +124,8 @@
     """What the process holds for one connection.
 
     `is_running` is whether a statement runs, so that the caller is not what
-    the connection waits for.
+    the connection waits for. `waiting_since` is when it began to wait for
+    budget, None if it does not.
     """
 
     __slots__ = (
@@ -132,6 +133,7 @@
         "progressed_at",
         "is_running",
         "is_closing",
+        "waiting_since",
         "amounts",
         "held",
         "close",
@@ -142,6 +144,7 @@
         self.progressed_at = now
         self.is_running = False
         self.is_closing = False
+        self.waiting_since = None
         self.amounts = [0] * len(Kind)
         self.held = 0
         self.close = close
@@ -239,12 +242,14 @@
             self._holders.discard(account)
         return True
 
-    def choose_shed(self, now, added):
+    def choose_shed(self, now, added, head=None):
         """Return the account whose connection has to be closed, or None.
 
         It holds most of those that made no progress for `STALL_S` and run
         no statement. What connections that are being closed hold counts as
         free. None is chosen if closing all candidates made too little room.
+        Of those that wait for budget themselves, the newest is chosen, once
+        there is no other.
 
         Parameters
         ----------
@@ -252,20 +257,19 @@
             Time in seconds.
         added : int
             Bytes for which there has to be room.
+        head : Account, optional
+            The account that needs them; it is not chosen.
         """
         missing = self.total + added - self.bounds.total_bytes
         candidates = []
         for account in self._holders:
             if account.is_closing:
                 missing -= account.held
-            elif _may_be_shed(account, now):
+            elif account is not head and _may_be_shed(account, now):
                 candidates.append(account)
         if not 0 < missing <= sum(account.held for account in candidates):
             return None
-        chosen = max(
-            candidates,
-            key=lambda account: (account.held, -account.progressed_at),
-        )
+        chosen = max(candidates, key=_rank_for_shedding)
         self._mark_closing(chosen)
         return chosen
 
@@ -285,7 +289,18 @@
 
 def _may_be_shed(account, now):
     """Return whether a connection may be closed for room."""
-    if account.is_running or now - account.progressed_at < STALL_S:
+    if account.is_running:
+        return False
+    if account.waiting_since is not None:
+        return now - account.waiting_since >= STALL_S
+    if now - account.progressed_at < STALL_S:
         return False
     state_bytes = account.amounts[Kind.STATE]
     return account.held > state_bytes or state_bytes >= SHED_STATE_BYTES
+
+
+def _rank_for_shedding(account):
+    """Return a key that is largest for the connection to close first."""
+    if account.waiting_since is not None:
+        return False, account.waiting_since, 0
+    return True, account.held, -account.progressed_at
--- a/src/geraniumridge/_internal/proxy/caller_accounts.py
+++ b/src/geraniumridge/_internal/proxy/caller_accounts.py
@@ -73,13 +73,23 @@
         ):
             return
         self._metrics.count("caller_budget_waits")
+        account.waiting_since = trio.current_time()
+        try:
+            await self._wait_for_room(account, kind, count)
+        finally:
+            account.waiting_since = None
+            # The caller could make no progress meanwhile.
+            self.note_progress(account)
+
+    async def _wait_for_room(self, account, kind, count):
+        """Hold bytes when it is the account's turn and there is room."""
         async with self._turn:
             # Bytes that others free do not restart the time, as too few of
             # them, freed often, would postpone closing for ever.
             shed_at = trio.current_time() + caller_budget.STALL_S
             while not self.budget.try_hold(account, kind, count):
                 if not await self._wait_freed(shed_at):
-                    self._shed(count - account.amounts[kind])
+                    self._shed(account, count - account.amounts[kind])
                     shed_at = trio.current_time() + caller_budget.STALL_S
 
     def release(self, account, kind, count=0):
@@ -95,9 +105,9 @@
             await self._freed.wait()
         return not scope.cancelled_caught
 
-    def _shed(self, added):
-        """Close a connection to make room for bytes."""
-        chosen = self.budget.choose_shed(trio.current_time(), added)
+    def _shed(self, head, added):
+        """Close a connection to make room for bytes of an account."""
+        chosen = self.budget.choose_shed(trio.current_time(), added, head)
         if chosen is not None:
             self._close(chosen, "total_bytes")
 
--- a/tests/unit/proxy/test_caller_accounts.py
+++ b/tests/unit/proxy/test_caller_accounts.py
@@ -100,3 +100,42 @@
         assert callers.closed == ["slow", "quick"]
 
     run(main)
+
+
+def test_callers_that_wait_for_budget_are_closed_last_and_newest_first(run):
+    """Those that waited in the queue were closed for lack of progress."""
+
+    async def main():
+        callers = Callers()
+        idle, old, new, head = map(callers.open, ("idle", "old", "new", ""))
+        for account, mib in ((idle, 1), (old, 4), (new, 2), (head, 1)):
+            await callers.accounts.hold(account, Kind.RECEIVED, mib * MIB)
+        async with trio.open_nursery() as nursery:
+            for account, mib in ((head, 2), (old, 5), (new, 3)):
+                nursery.start_soon(
+                    callers.accounts.hold, account, Kind.RECEIVED, mib * MIB
+                )
+                await trio.sleep(0.01)
+            with trio.fail_after(2 * STALL_S):
+                while head.waiting_since is not None:
+                    await trio.sleep(0.01)
+            assert callers.closed == ["idle"]
+            head.is_running = True
+            with trio.fail_after(2 * STALL_S):
+                while old.waiting_since is not None:
+                    await trio.sleep(0.01)
+            assert callers.closed == ["idle", "new"]
+            nursery.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_waiting_for_budget_is_no_lack_of_progress(run):
+    async def main():
+        callers = Callers()
+        large, head = callers.open("large"), callers.open("head")
+        await callers.accounts.hold(large, Kind.RECEIVED, 8 * MIB)
+        await callers.accounts.hold(head, Kind.RECEIVED, 2 * MIB)
+        assert head.progressed_at == trio.current_time()
+
+    run(main)
