--- a/src/geraniumridge/_internal/proxy/caller_accounts.py
+++ b/src/geraniumridge/_internal/proxy/caller_accounts.py
@@ -63,11 +63,16 @@
     async def hold(self, account, kind, count):
         """Hold bytes of a kind; wait until the budget has room for them.
 
+        Fewer bytes than before are held at once, without waiting in turn.
+
         Raises
         ------
         exceptions.CallerBoundError
             If the connection would exceed its own bound.
         """
+        if count <= account.amounts[kind]:
+            self.release(account, kind, count)
+            return
         if not self._turn.locked() and self.budget.try_hold(
             account, kind, count
         ):
--- a/tests/unit/proxy/test_caller_accounts.py
+++ b/tests/unit/proxy/test_caller_accounts.py
@@ -139,3 +139,25 @@
         assert head.progressed_at == trio.current_time()
 
     run(main)
+
+
+def test_holding_less_does_not_wait_in_turn(run):
+    """A caller that gave bytes back waited behind those that want them."""
+
+    async def main():
+        callers = Callers()
+        large = callers.open("large")
+        head = callers.open("head")
+        await callers.accounts.hold(large, Kind.STATE, 8 * MIB)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                callers.accounts.hold, head, Kind.RECEIVED, 2 * MIB
+            )
+            await trio.testing.wait_all_tasks_blocked()
+            with trio.fail_after(0):
+                await callers.accounts.hold(large, Kind.STATE, 7 * MIB)
+            with trio.fail_after(0.01):
+                await callers.accounts.hold(large, Kind.STATE, 6 * MIB)
+        assert callers.closed == []
+
+    run(main)
