--- a/src/geraniumridge/_internal/decisions/caller_budget.py
+++ b/src/geraniumridge/_internal/decisions/caller_budget.py
@@ -35,12 +35,13 @@
 """Least bound on one connection: a message of 1 MiB at its weight, and the
 chunk that is read beyond it."""
 
-DEFAULT_CONNECTION_BYTES = 12 * MIB
+DEFAULT_CONNECTION_BYTES = 14 * MIB
 """A message of 1 MiB, an answer with 2 MiB of rows and the session state."""
 
-DEFAULT_STATE_BYTES = 2 * MIB
-"""Session values and prepared statements of one session; one of them may have
-the length of the largest message."""
+DEFAULT_STATE_BYTES = 5 * MIB
+"""Session values and prepared statements of one session. One of them may have
+the length of the largest message; with a character beyond the 16-bit range it
+takes four bytes for each."""
 
 DEFAULT_MEMORY_MB = 200.0
 """Memory of the smallest VM, assumed where the settings name none."""
--- a/tests/unit/decisions/test_caller_budget.py
+++ b/tests/unit/decisions/test_caller_budget.py
@@ -7,6 +7,7 @@
 from geraniumridge._internal.decisions import caller_budget
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import proxy_settings
+from geraniumridge._internal.proxy import session
 
 Kind = caller_budget.Kind
 BOUNDS = caller_budget.CallerBounds(
@@ -175,6 +176,9 @@
         caller_budget.MIB + caller_budget.STEP_BYTES
     )
     rows = caller_budget.ANSWER_WEIGHT * 2 * caller_budget.MIB
+    # One character beyond the 16-bit range widens all of a text.
+    text = "\U0001f600" + "a" * (caller_budget.MIB - 5)
+    assert session.count_entry_bytes("a", text) <= bounds.state_bytes
     held = message + rows + bounds.state_bytes
     assert held <= bounds.connection_bytes <= bounds.total_bytes
 
