--- a/src/geraniumridge/_internal/models/proxy_settings.py
+++ b/src/geraniumridge/_internal/models/proxy_settings.py
@@ -3,10 +3,12 @@
 The daemon with the HTTP interface reads `models.settings`.
 """
 
+import math
 import typing
 
 import msgspec
 
+from geraniumridge._internal.decisions import caller_budget
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import settings
 from geraniumridge._internal.utils import codec
@@ -84,6 +86,31 @@
     lease_s: UsageSeconds
 
 
+class CallerSettings(typing.NamedTuple):
+    """Bounds on what callers' connections hold and how long they stall.
+
+    `memory_mb` and `max_descriptors` are those of the VM; the bounds that are
+    not set follow from them. All callers together hold at most `total_bytes`,
+    one at most `connection_bytes`, and its session values and prepared
+    statements at most `state_bytes`. There are at most `max_connections`
+    callers' connections, and `max_http_connections` on each of the readiness
+    and metrics ports. A connection has `startup_timeout_s` for its STARTUP,
+    `progress_timeout_s` for each part of a message, and `send_timeout_s` to
+    accept each part of an answer.
+    """
+
+    memory_mb: settings.PositiveFloat | None = None
+    max_descriptors: settings.PositiveInt | None = None
+    total_bytes: settings.PositiveInt | None = None
+    connection_bytes: settings.PositiveInt | None = None
+    state_bytes: settings.PositiveInt | None = None
+    max_connections: settings.PositiveInt | None = None
+    max_http_connections: settings.PositiveInt = 32
+    startup_timeout_s: settings.PositiveFloat = 10.0
+    progress_timeout_s: settings.PositiveFloat = 10.0
+    send_timeout_s: settings.PositiveFloat = 5.0
+
+
 class ProxySettings(typing.NamedTuple):
     """All settings; `regions` maps failure domains to regions.
 
@@ -94,6 +121,7 @@
     listen: ListenSettings
     platform: PlatformSettings
     bounds: BoundSettings = BoundSettings()
+    callers: CallerSettings = CallerSettings()
     regions: dict[str, str] = {}
     log: settings.LogSettings = settings.LogSettings()
     usage: UsageSettings | None = None
@@ -125,8 +153,22 @@
     """
     data = settings.read_toml(path)
     found = codec.decode(ProxySettings, data, path)
-    if found.listen.last_peer_port < found.listen.first_peer_port:
-        raise exceptions.SettingsError(
-            path, ["listen.last_peer_port: Must not be below first_peer_port"]
-        )
+    problems = list(_cross_check(found))
+    if problems:
+        raise exceptions.SettingsError(path, problems)
     return found
+
+
+def _cross_check(found):
+    if found.listen.last_peer_port < found.listen.first_peer_port:
+        yield "listen.last_peer_port: Must not be below first_peer_port"
+    least = caller_budget.MIN_CONNECTION_BYTES
+    for key in ("total_bytes", "connection_bytes"):
+        value = getattr(found.callers, key)
+        if value is not None and value < least:
+            yield f"callers.{key}: Must be at least {least}"
+    bounds = caller_budget.derive_bounds(found.callers, math.inf)
+    if bounds.connection_bytes > bounds.total_bytes:
+        yield "callers.connection_bytes: Must not exceed total_bytes"
+    if bounds.state_bytes > bounds.connection_bytes:
+        yield "callers.state_bytes: Must not exceed connection_bytes"
--- a/src/geraniumridge/_internal/ports/targets.py
+++ b/src/geraniumridge/_internal/ports/targets.py
@@ -15,6 +15,8 @@
     position that the target's log must have reached. `send_rows` is an
     async function that takes the rows of a large answer, in parts; the
     answer then has the remaining ones. Without it the answer has all.
+    `hold_rows` is an async function of the number of bytes of rows that are
+    held from then on; it returns once there is room for them.
     `requires_primary` is whether the target has to be the group's primary.
     """
 
@@ -22,6 +24,7 @@
     text: bytes
     min_position: records.LogPosition | None = None
     send_rows: typing.Callable | None = None
+    hold_rows: typing.Callable | None = None
     requires_primary: bool = False
 
 
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -270,6 +270,7 @@
             context.statement.text,
             min_position,
             rows.send_rows,
+            rows.hold_rows,
             destination.is_primary,
         )
         sent_at = clock.now()
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -71,9 +71,11 @@
         self.distances = estimates.Distances(
             settings.vm.domain, settings.regions, self._find_domain
         )
-        self.pools = pool.ConnectionPools(dialect, self.distances)
         self.load_reports = load_reports.LoadReports()
         self.metrics = metrics.MetricsRegistry()
+        self.pools = pool.ConnectionPools(
+            dialect, self.distances, self.metrics
+        )
         self.limits = None
         self.position_exchange = None
         self.usage_counter = None
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import sys
 
 import trio
 
@@ -16,6 +17,7 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import statements
 from geraniumridge._internal.utils import clock
+from geraniumridge._internal.utils import metrics
 
 logger = logging.getLogger(__name__)
 
@@ -38,6 +40,11 @@
 """Pause after a target refused a connection because its limit was
 reached."""
 
+MAX_POOLED_STATE_BYTES = 131_072
+"""Session values and prepared statements on a connection above which it is
+closed on release. They stay after their session has ended, until the next one
+that uses the connection replaces them."""
+
 
 class PooledConnection:
     """A connection with the session state that was restored on it.
@@ -58,8 +65,30 @@
         self.team = team
         self.values = {}
         self.prepared = {}
+        self.state_bytes = 0
         self.idle_since = 0.0
 
+    def clear_state(self):
+        """Note that the target dropped the session state."""
+        self.values.clear()
+        self.prepared.clear()
+        self.state_bytes = 0
+
+    def note_value(self, name, value):
+        """Note a session value that the target gets."""
+        self._note(self.values, name, value)
+
+    def note_prepared(self, name, definition):
+        """Note a prepared statement that the target gets."""
+        self._note(self.prepared, name, definition)
+
+    def _note(self, texts, name, text):
+        former = texts.get(name, "")
+        texts[name] = text
+        self.state_bytes += sys.getsizeof(text) - sys.getsizeof(former)
+        if not former:
+            self.state_bytes += sys.getsizeof(name)
+
 
 class ConnectionPool:
     """Pool of connections to one target.
@@ -73,12 +102,15 @@
         extends their time limit.
     borrower : proxy.lending.borrower.Borrower, optional
         Borrows connections from other VMs.
+    registry : utils.metrics.MetricsRegistry, optional
+        Counts the connections that are closed for their session state.
     """
 
-    def __init__(self, dialect, distances=None, borrower=None):
+    def __init__(self, dialect, distances=None, borrower=None, registry=None):
         self._dialect = dialect
         self._distances = distances
         self._borrower = borrower
+        self._metrics = registry or metrics.MetricsRegistry()
         self._idle = []
         self._busy = set()
         self._borrowed = set()
@@ -173,6 +205,9 @@
         self._busy.discard(connection)
         if not connection.link.is_open:
             connection.link.abort()
+        elif connection.state_bytes > MAX_POOLED_STATE_BYTES:
+            self._metrics.count("target_connections_closed:state_bytes")
+            connection.link.abort()
         else:
             connection.idle_since = clock.now()
             self._idle.append(connection)
@@ -359,11 +394,14 @@
         Protocol of the targets.
     distances : decisions.distance.estimates.Distances, optional
         Round trips to the targets' failure domains.
+    registry : utils.metrics.MetricsRegistry, optional
+        See `ConnectionPool`.
     """
 
-    def __init__(self, dialect, distances=None):
+    def __init__(self, dialect, distances=None, registry=None):
         self._dialect = dialect
         self._distances = distances
+        self._metrics = registry or metrics.MetricsRegistry()
         self._borrower = None
         self._pools = {}
 
@@ -387,7 +425,7 @@
         pool = self._pools.get(target_id)
         if pool is None:
             pool = ConnectionPool(
-                self._dialect, self._distances, self._borrower
+                self._dialect, self._distances, self._borrower, self._metrics
             )
             self._pools[target_id] = pool
         return pool
--- a/tests/unit/models/test_proxy_settings.py
+++ b/tests/unit/models/test_proxy_settings.py
@@ -111,6 +111,8 @@
     "platform.ttlMinMs": "1000",
     "bounds.drainMs": "7000",
     "bounds.quotaSlack": "20",
+    "limits.memoryMb": "200",
+    "limits.maxFds": "4300",
     "#zones": "",
     "/zones": "",
     "@": "north",
@@ -127,7 +129,7 @@
 def render(values):
     """Return the template with values, and only the sections that have one."""
     text = re.sub(
-        r"\{\{#(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}",
+        r"\{\{#((?:bounds|limits)\.\w+)\}\}(.*?)\{\{/\1\}\}",
         lambda match: match[2] if match[1] in values else "",
         TEMPLATE.read_text(),
         flags=re.DOTALL,
@@ -145,6 +147,8 @@
     assert found.bounds.withdrawal_ms == 5000
     assert found.bounds.limit_slack == 20
     assert found.usage is None
+    assert found.callers.memory_mb == 200
+    assert found.callers.max_descriptors == 4300
 
 
 def test_deployment_template_sets_usage_if_the_platform_asks(tmp_path):
@@ -157,3 +161,21 @@
     values = {**TEMPLATE_VALUES, **USAGE_VALUES, "bounds.usageLateS": ""}
     with pytest.raises(exceptions.SettingsError):
         load(tmp_path, render(values))
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("total_bytes = 1000", "callers.total_bytes: Must be at least"),
+        ("connection_bytes = 9", "callers.connection_bytes: Must be at least"),
+        ("connection_bytes = 90000000", "Must not exceed total_bytes"),
+        ("state_bytes = 90000000", "Must not exceed connection_bytes"),
+        ("memory_mb = 0", "callers.memory_mb"),
+        ("max_connections = 0", "callers.max_connections"),
+        ("odd = 1", "callers.odd: Unknown key"),
+    ],
+)
+def test_bounds_on_callers_are_checked(tmp_path, text, named):
+    with pytest.raises(exceptions.SettingsError) as caught:
+        load(tmp_path, f"{GOOD}[callers]\n{text}\n")
+    assert named in str(caught.value)
--- a/tests/unit/proxy/test_metrics_server.py
+++ b/tests/unit/proxy/test_metrics_server.py
@@ -19,7 +19,7 @@
             target_load.end(target_load.begin(now), now, is_answered=True)
     reports.note_report("vm-2", [load_reports.Occupancy("i-1", 1.5, 0.3)], now)
     node = types.SimpleNamespace(pools=pools, load_reports=reports)
-    server = metrics_server.MetricsServer(node)
+    server = metrics_server.MetricsServer(node, None)
     return server._format_targets().splitlines()
 
 
