--- a/src/geraniumridge/_internal/network/peer_messages.py
+++ b/src/geraniumridge/_internal/network/peer_messages.py
@@ -327,13 +327,15 @@
 
     thrift_spec = {
         1: (TType.BOOL, "is_granted", True),
-        2: (TType.BOOL, "is_target_full", True),
-        3: (TType.STRING, "detail", True),
-        4: (TType.LIST, "values", (TType.STRUCT, SessionEntry), True),
-        5: (TType.LIST, "prepared", (TType.STRUCT, SessionEntry), True),
+        2: (TType.BOOL, "is_lender", True),
+        3: (TType.BOOL, "is_target_full", True),
+        4: (TType.STRING, "detail", True),
+        5: (TType.LIST, "values", (TType.STRUCT, SessionEntry), True),
+        6: (TType.LIST, "prepared", (TType.STRUCT, SessionEntry), True),
     }
     default_spec = [
         ("is_granted", None),
+        ("is_lender", None),
         ("is_target_full", None),
         ("detail", None),
         ("values", None),
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -188,14 +188,16 @@
 }
 
 /** Answers a loan request. Without a grant, `is_target_full` is whether the
-    target refused a connection at its limit. `values` and `prepared` are the
+    target refused a connection at its limit, and `is_lender` is false if the
+    VM does not lend such a connection at all. `values` and `prepared` are the
     session state that is set on the connection. */
 struct LoanGrant {
   1: required bool is_granted
-  2: required bool is_target_full
-  3: required string detail
-  4: required list<SessionEntry> values
-  5: required list<SessionEntry> prepared
+  2: required bool is_lender
+  3: required bool is_target_full
+  4: required string detail
+  5: required list<SessionEntry> values
+  6: required list<SessionEntry> prepared
 }
 
 /** Returns a connection with the session state on it. */
--- a/src/geraniumridge/_internal/proxy/lending/borrower.py
+++ b/src/geraniumridge/_internal/proxy/lending/borrower.py
@@ -133,6 +133,9 @@
         ------
         exceptions.TargetRefusedError
             If the target refused the lender's connection at its limit.
+        exceptions.NotSentError
+            If the lender has no connection in time. A further one would wait
+            at the target instead.
         """
         member = self._find_lender(target, team)
         if member is None:
@@ -147,8 +150,10 @@
             return self._attach(channel, member, target, grant)
         self._keep(channel, member.vm)
         self._node.metrics.count("loans:refused")
-        if not grant.is_target_full:
+        if not grant.is_lender:
             return None
+        if not grant.is_target_full:
+            raise exceptions.NotSentError(f"{target.id}: {grant.detail}")
         raise exceptions.TargetRefusedError(
             f"{target.id}: {grant.detail}",
             statements.Outcome.TOO_MANY_CONNECTIONS,
--- a/src/geraniumridge/_internal/proxy/lending/lender.py
+++ b/src/geraniumridge/_internal/proxy/lending/lender.py
@@ -136,7 +136,9 @@
     async def _serve_request(self, channel, request):
         target = self._find_target(request)
         if target is None:
-            await channel.send_message(_make_refusal("not a lender"))
+            await channel.send_message(
+                _make_refusal("not a lender", is_lender=False)
+            )
             return
         pool = self._node.pools.get(target.id)
         try:
@@ -149,7 +151,9 @@
             connection.values, connection.prepared
         ):
             pool.discard(connection)
-            await channel.send_message(_make_refusal("too much state"))
+            await channel.send_message(
+                _make_refusal("too much state", is_lender=False)
+            )
             return
         loan = _Loan(channel, connection, clock.now())
         try:
@@ -180,6 +184,7 @@
     async def _run_loan(self, loan):
         grant = messages.LoanGrant(
             is_granted=True,
+            is_lender=True,
             is_target_full=False,
             detail="",
             values=session_entries.encode(loan.connection.values),
@@ -284,10 +289,11 @@
             self._no_loans.set()
 
 
-def _make_refusal(detail, is_target_full=False):
+def _make_refusal(detail, is_target_full=False, is_lender=True):
     """Return the answer to a request that is not granted."""
     return messages.LoanGrant(
         is_granted=False,
+        is_lender=is_lender,
         is_target_full=is_target_full,
         detail=detail,
         values=[],
--- a/src/geraniumridge/_internal/proxy/pool.py
+++ b/src/geraniumridge/_internal/proxy/pool.py
@@ -180,7 +180,6 @@
                 if found is not None:
                     return found
                 may_borrow = False
-                self._check_room_without_loan(target)
             if self._may_add_connection() or self._close_oldest_idle():
                 try:
                     return await self._open_connection(target, team)
@@ -305,20 +304,6 @@
         self._borrowed.add(connection)
         return connection
 
-    def _check_room_without_loan(self, target):
-        """Raise if a VM that borrows has no room for a connection of its own.
-
-        The lender has had time to free one, and the few that this VM may open
-        are busy, so a longer wait would mostly be in vain.
-        """
-        is_borrower = self._limits.max_kept_open == 0 and bool(
-            self._borrower.find_lenders(target)
-        )
-        if is_borrower and not self._may_add_connection():
-            raise exceptions.NotSentError(
-                f"{target.id}: no connection is free"
-            )
-
     def _give_back(self, connection):
         self._borrowed.discard(connection)
         if connection.link.is_open:
