Let the times of a test of late answers lie further apart

The answer now comes after 1 s and the limit is 0.5 s; the test also checks that the query itself got no answer.

--- a/tests/unit/network/test_datagrams.py
+++ b/tests/unit/network/test_datagrams.py
@@ -381,17 +381,19 @@
 
 
 def test_very_late_answer_is_dropped(monkeypatch):
-    monkeypatch.setattr(datagrams, "LATE_ANSWER_S", 0.02)
+    """The times lie far apart, as a busy machine may delay each of them."""
+    monkeypatch.setattr(datagrams, "LATE_ANSWER_S", 0.5)
 
     async def test(peers, member):
         late = []
-        await peers.query(
+        answer = await peers.query(
             make_token_request(), member, 0.01, on_late=late.append
         )
-        await trio.sleep(0.08)
+        assert answer is None
+        await trio.sleep(1.5)
         assert not late and not peers.distances.list_measured()
 
-    run_delayed("north", 0.04, test)
+    run_delayed("north", 1.0, test)
 
 
 def test_number_of_ended_queries_that_are_kept_is_bounded(monkeypatch):
