Take no position of earlier times as a bound on a silent replica

The one that lacked 684 of 3,984 acknowledged commits was promoted at once, and reads said that their items did not exist.

Cause: for a replica without a status, `_find_bound` took a position of the primary that was read after the replica's restart was seen, or after its entry had expired. That bounds the run that has ended. The present run goes on confirming commits, and the VM that ran the failover had sent the primary nothing since.

Ruled out: that the silent replica was left out as gone (it was listed, with a position as its bound), and that the log of the promoted one was taken for whole after a restart of its own (it had none). `successor_chosen` couldn't tell these apart; it names replicas without a bound now, and what VMs told.

Change: a silent replica has no bound. To wait for each would close a group while a crashed replica stays away, so the VMs tell, with their acknowledgement of the failover, a position that covers the commits which they passed on; all of them together prove that a replica holds what callers were told. Runs of the daemon that ended are covered by an answer of the primary sent once they could no longer use it. docs/design/promotion-proof.md has the argument.

Tests changed. test_departed_replica_counts_unless_its_commits_are_covered asked for the fault: that a silent replica is bounded by a covering position.

--- /dev/null
+++ b/src/geraniumridge/_internal/decisions/acknowledged_commits.py
@@ -0,0 +1,149 @@
+"""Which commits callers have been told of, by what the VMs tell.
+
+Every acknowledgement of a commit passes through a VM. Once the VMs no longer
+use a primary, each tells a position of its log that covers the commits that
+it passed on itself. A run of the daemon that has ended tells nothing; its
+commits are covered by any answer of the primary to a statement that was sent
+after the run could last use it. ``docs/design/promotion-proof.md`` has the
+argument.
+"""
+
+import typing
+
+from geraniumridge._internal.decisions import primary_resolver
+from geraniumridge._internal.models import fleet
+from geraniumridge._internal.models import records
+
+LAST_USE_S = (
+    primary_resolver.MAX_VIEW_AGE_S + primary_resolver.SCHEDULING_MARGIN_S
+)
+"""How long a run of the daemon may use a primary after its end was seen: its
+registration may have ended before the run."""
+
+
+class AcknowledgedCommits:
+    """Bound on the commits of one group that this VM passed on."""
+
+    def __init__(self):
+        self._position = records.LOG_START
+        self._covered_end = 0
+        self._is_known = True
+
+    def note_answer(self, log_position, sent_at, is_commit, run_end):
+        """Note an answer of the primary.
+
+        Parameters
+        ----------
+        log_position : records.LogPosition or None
+            End of the primary's log, None if it told none.
+        sent_at : float
+            Clock time, in seconds, at which the statement was sent.
+        is_commit : bool
+            Whether the answer acknowledges a commit.
+        run_end : decisions.view.RunEnd or None
+            The newest end of a run that the view shows, None without a
+            view.
+        """
+        if log_position is None:
+            self._is_known = self._is_known and not is_commit
+            return
+        covers_ends = (
+            run_end is not None
+            and run_end.revision > self._covered_end
+            and sent_at >= run_end.seen_at + LAST_USE_S
+        )
+        if covers_ends:
+            self._covered_end = run_end.revision
+        if is_commit or covers_ends:
+            self._position = max(self._position, log_position)
+
+    def make_bound(self, boot, view):
+        """Return the `fleet.CommitBound` of this run, None if unknown.
+
+        Parameters
+        ----------
+        boot : str
+            Identity of this run of the daemon.
+        view : decisions.view.View
+            The store view. It shows no end of a run later than the newest
+            one, so what covers that covers all up to the view's revision.
+        """
+        if not self._is_known or max(self._position) > fleet.MAX_COUNT:
+            return None
+        run_end = view.last_run_end
+        is_covered = (
+            run_end is not None and run_end.revision <= self._covered_end
+        )
+        covered_revision = view.revision if is_covered else 0
+        return fleet.CommitBound(boot, *self._position, covered_revision)
+
+
+class ToldBounds(typing.NamedTuple):
+    """What the VMs have told of the commits that they passed on.
+
+    `position` is the highest that one has told. It covers all commits unless
+    VMs are `untold`, which have told none, or runs that ended are not
+    covered.
+    """
+
+    position: records.LogPosition
+    untold: tuple[str, ...]
+    is_covered: bool
+
+    @property
+    def is_complete(self):
+        """Whether `position` covers every commit that was passed on."""
+        return self.is_covered and not self.untold
+
+
+def combine_bounds(view, list_bounds):
+    """Return the `ToldBounds` of all VMs.
+
+    Parameters
+    ----------
+    view : decisions.view.View
+        A view at least as new as the failover's leadership record.
+    list_bounds : callable
+        Returns the `fleet.CommitBound` that a VM has told with its
+        acknowledgement of this failover, those of earlier runs included.
+    """
+    all_bounds = {vm: list_bounds(vm) for vm in view.members}
+    told = [bound for bounds in all_bounds.values() for bound in bounds]
+    untold = (
+        vm
+        for vm, member in view.members.items()
+        if all(bound.boot != member.boot for bound in all_bounds[vm])
+    )
+    run_end = view.last_run_end
+    return ToldBounds(
+        max(
+            (records.LogPosition(item.term, item.position) for item in told),
+            default=records.LOG_START,
+        ),
+        tuple(sorted(untold)),
+        run_end is not None
+        and any(item.covered_revision >= run_end.revision for item in told),
+    )
+
+
+def find_covering(old_position, told):
+    """Return a position that covers every acknowledged commit.
+
+    Parameters
+    ----------
+    old_position : records.LogPosition or None
+        End of the log of the old primary, which still leads; None if it does
+        not answer.
+    told : ToldBounds
+        What the VMs have told.
+
+    Returns
+    -------
+    records.LogPosition or None
+        The lowest that is known, None if none is.
+    """
+    if not told.is_complete:
+        return old_position
+    if old_position is None:
+        return told.position
+    return min(old_position, told.position)
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -28,9 +28,9 @@
     `may_be_promoted` is false of a target that is draining, evacuated or
     no longer registered; its status still counts. `may_have_lost_log` is
     whether it may have started again without its log, so that its status
-    does not tell what it held before. `covering_position` is a log position
-    that covers every commit that the target received before its entry was
-    removed or it started again, None if none is known.
+    does not tell what it held before. `covering_position` is then a log
+    position that covers every commit that it received before it started
+    again, None if none is known.
     """
 
     target: desired.Target
@@ -46,22 +46,34 @@
     def __init__(self):
         self._newest = {}
 
-    def note(self, vm, group, revision):
+    def note(self, vm, group, revision, bound=None):
         """Record that a VM no longer uses a group's primary.
 
         `revision` is that of the failover's leadership record; those of an
-        earlier failover of the group are forgotten.
+        earlier failover of the group are forgotten. `bound` is the
+        `fleet.CommitBound` that the VM tells, None if it tells none.
         """
-        known_revision, vms = self._newest.get(group, (0, set()))
+        known_revision, vms = self._newest.get(group, (0, {}))
+        if revision < known_revision:
+            return
         if revision > known_revision:
-            self._newest[group] = (revision, {vm})
-        elif revision == known_revision:
-            vms.add(vm)
+            vms = {}
+            self._newest[group] = (revision, vms)
+        bounds = vms.setdefault(vm, {})
+        if bound is not None:
+            bounds[bound.boot] = bound
 
     def has(self, vm, group, revision):
         """Return whether a VM has acknowledged a failover."""
-        known_revision, vms = self._newest.get(group, (0, set()))
-        return revision == known_revision and vm in vms
+        return vm in self._get_vms(group, revision)
+
+    def list_bounds(self, vm, group, revision):
+        """Return the `fleet.CommitBound` of a VM's runs for a failover."""
+        return list(self._get_vms(group, revision).get(vm, {}).values())
+
+    def _get_vms(self, group, revision):
+        known_revision, vms = self._newest.get(group, (0, {}))
+        return vms if revision == known_revision else {}
 
 
 class Fence:
@@ -167,6 +179,35 @@
         return now - expired_at > primary_resolver.SCHEDULING_MARGIN_S
 
 
+def list_bounds(vm, group, revision, view, received):
+    """Return what a VM has told with its acknowledgement of a failover.
+
+    Parameters
+    ----------
+    vm : str
+        The VM.
+    group : str
+        The group.
+    revision : int
+        Revision of the failover's leadership record.
+    view : decisions.view.View
+        The store view, with the acknowledgements in the store.
+    received : Acknowledgements
+        Those that reached this VM directly.
+
+    Returns
+    -------
+    list of fleet.CommitBound
+        Of the VM's runs that told one.
+    """
+    bounds = received.list_bounds(vm, group, revision)
+    stored = view.list_acknowledgements(group).get(vm)
+    is_current = stored is not None and stored.revision == revision
+    if is_current and stored.bound is not None:
+        bounds.append(stored.bound)
+    return bounds
+
+
 def find_promoted_target(lead, statuses):
     """Return the target that an earlier attempt has promoted.
 
@@ -242,23 +283,23 @@
         return best
     # The newest acknowledged commit may be at a single replica, so the
     # successor has to hold what each of them may have received.
-    bounds = [_find_bound(item) for item in replicas]
+    bounds = [find_bound(item) for item in replicas]
     if None in bounds or received < max(reported_position, *bounds):
         return None
     return best
 
 
-def _find_bound(replica):
+def find_bound(replica):
     """Return a position up to which a replica may hold commits, or None.
 
-    It may have held them before it left or started again.
+    Its earlier runs count, too. A silent replica has no bound: whatever is
+    known of the time before, it may have gone on receiving commits.
     """
-    covering_position = replica.covering_position
     if replica.status is None:
-        return covering_position
+        return None
     received = replica.status.received
     if not replica.may_have_lost_log:
         return received
-    if covering_position is None:
+    if replica.covering_position is None:
         return None
-    return max(received, covering_position)
+    return max(received, replica.covering_position)
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -40,6 +40,17 @@
     was_registered: bool = True
 
 
+class RunEnd(typing.NamedTuple):
+    """The newest end of a VM's run, and when that was seen.
+
+    A run of the daemon ends when its registration does, or when the VM
+    registers another run. `revision` is that of the store's change.
+    """
+
+    seen_at: float
+    revision: int
+
+
 class SeenOrder(typing.NamedTuple):
     """A group's newest `fleet.PromotionOrder`.
 
@@ -88,6 +99,7 @@
         self._restart_times = {}
         self._complete_since = None
         self._outage_ended_at = None
+        self._last_run_end = None
 
     @property
     def revision(self):
@@ -137,6 +149,15 @@
         """Clock time since which no change can have been missed, or None."""
         return self._complete_since
 
+    @property
+    def last_run_end(self):
+        """The newest `RunEnd`, or None before the first listing.
+
+        A listing that follows a gap counts as one, as runs may have ended
+        unnoticed.
+        """
+        return self._last_run_end
+
     def get_lead(self, group):
         """Return a group's `fleet.Lead`, or None."""
         entry = self._entries.get(fleet.make_lead_key(group))
@@ -258,8 +279,10 @@
             or now - confirmed_at > MAX_UNNOTICED_GAP_S
         ):
             self._complete_since = now
+            self._last_run_end = RunEnd(now, listing.revision)
         present = {item.key for item in listing.items}
         for key in list(self._entries.keys() - present):
+            self._note_run_end(now, key, None, listing.revision)
             self._delete_entry(now, key)
         for item in listing.items:
             self._apply_item(now, item)
@@ -310,9 +333,11 @@
         if known is not None and item.revision <= known.revision:
             return
         if item.value is None:
+            self._note_run_end(now, item.key, None, item.revision)
             self._delete_entry(now, item.key)
             return
         record = self._decode(item.key, item.value)
+        self._note_run_end(now, item.key, record, item.revision)
         if record is fleet.UNREADABLE_LEAD and known is not None:
             record = _suspend_lead(known.record)
         if known is not None and type(record) is not type(known.record):
@@ -320,6 +345,15 @@
         self._entries[item.key] = Entry(item.revision, record)
         self._add_record(now, item, record)
 
+    def _note_run_end(self, now, key, record, revision):
+        """Record that a VM's run has ended, if a new record shows that."""
+        known = self._entries.get(key)
+        if known is None or not isinstance(known.record, fleet.Member):
+            return
+        boot = record.boot if isinstance(record, fleet.Member) else None
+        if boot != known.record.boot:
+            self._last_run_end = RunEnd(now, revision)
+
     def _delete_entry(self, now, key):
         known = self._entries.pop(key, None)
         if known is not None:
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -22,8 +22,12 @@
 USAGE_RECORDS_PREFIX = "geraniumridge/usage/windows/"
 
 
-Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-"""A term or revision; larger ones come from a broken writer."""
+MAX_COUNT = 2**53
+"""Largest term, position or revision; larger ones come from a broken
+writer."""
+
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+"""A term, position or revision."""
 
 MAX_WINDOW_DIGITS = 15
 """Digits of the largest window that a key may name; more come from a broken
@@ -66,15 +70,30 @@
     is_settled: bool = False
 
 
+class CommitBound(typing.NamedTuple):
+    """Bound on the acknowledged commits that one run of a VM passed on.
+
+    `term` and `position` are a log position of the primary that covers them
+    all. It also covers what the daemons passed on whose end the store showed
+    up to the revision `covered_revision`. `boot` is that of the run.
+    """
+
+    boot: str
+    term: Count
+    position: Count
+    covered_revision: Count
+
+
 class Acknowledgement(typing.NamedTuple):
     """A VM's acknowledgement that it stopped using a primary.
 
     `revision` is the store's revision of the leadership record whose
-    failover is acknowledged.
+    failover is acknowledged. `bound` is None if the VM does not know one.
     """
 
     vm: str
     revision: Count
+    bound: CommitBound | None = None
 
 
 class RecordedTarget(typing.NamedTuple):
--- a/src/geraniumridge/_internal/network/peer_messages.py
+++ b/src/geraniumridge/_internal/network/peer_messages.py
@@ -208,12 +208,20 @@
         2: (TType.STRING, "vm", True),
         3: (TType.STRING, "group", True),
         4: (TType.I64, "revision", True),
+        5: (TType.STRING, "boot", False),
+        6: (TType.I64, "term", False),
+        7: (TType.I64, "position", False),
+        8: (TType.I64, "covered_revision", False),
     }
     default_spec = [
         ("number", None),
         ("vm", None),
         ("group", None),
         ("revision", None),
+        ("boot", ""),
+        ("term", 0),
+        ("position", 0),
+        ("covered_revision", 0),
     ]
 
 
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -117,12 +117,18 @@
 }
 
 /** Tells the VM that runs a failover that `vm` no longer uses the primary of
-    a group. `revision` is that of the failover's leadership record. */
+    a group. `revision` is that of the failover's leadership record. The
+    others are the bound on the commits that this run of the VM passed on;
+    `boot` is empty if it knows none, or in an earlier version. */
 struct FailoverAcknowledgement {
   1: required i64 number
   2: required string vm
   3: required string group
   4: required i64 revision
+  5: optional string boot = ""
+  6: optional i64 term = 0
+  7: optional i64 position = 0
+  8: optional i64 covered_revision = 0
 }
 
 /** Confirms that an acknowledgement has been recorded. */
--- a/src/geraniumridge/_internal/proxy/acknowledgement_exchange.py
+++ b/src/geraniumridge/_internal/proxy/acknowledgement_exchange.py
@@ -4,6 +4,7 @@
 is written to the store, since each of the store's changes reaches every VM.
 """
 
+from geraniumridge._internal.models import fleet
 from geraniumridge._internal.network import datagrams
 
 ANSWER_TIMEOUT_S = 0.05
@@ -55,15 +56,14 @@
         """
         own = self._node.settings.vm.name
         vm = holder.partition("/")[0]
+        bound = self._node.make_commit_bound(group)
         if vm == own:
-            return self._note(own, group, revision)
+            return self._note(own, group, revision, bound)
         member = self._node.view.members.get(vm)
         if member is None:
             return False
         for _ in range(DELIVERY_ATTEMPTS):
-            message = datagrams.messages.FailoverAcknowledgement(
-                vm=own, group=group, revision=revision
-            )
+            message = _make_message(own, group, revision, bound)
             receipt = await self._peers.query(
                 message, member, ANSWER_TIMEOUT_S, MAX_ANSWER_TIMEOUT_S
             )
@@ -72,18 +72,37 @@
         return False
 
     async def _note_message(self, message, sender):
-        if self._note(message.vm, message.group, message.revision):
+        is_noted = self._note(
+            message.vm, message.group, message.revision, _find_bound(message)
+        )
+        if is_noted:
             receipt = datagrams.messages.AcknowledgementReceipt(
                 number=message.number
             )
             await self._peers.send(receipt, sender)
 
-    def _note(self, vm, group, revision):
+    def _note(self, vm, group, revision, bound):
         """Record an acknowledgement of a known member for a known group."""
         state = self._node.view.state
         if state is None or group not in state.groups:
             return False
         if vm not in self._node.view.members:
             return False
-        self._node.acknowledgements.note(vm, group, revision)
+        self._node.acknowledgements.note(vm, group, revision, bound)
         return True
+
+
+def _make_message(vm, group, revision, bound):
+    fields = bound._asdict() if bound is not None else {}
+    return datagrams.messages.FailoverAcknowledgement(
+        vm=vm, group=group, revision=revision, **fields
+    )
+
+
+def _find_bound(message):
+    """Return the `fleet.CommitBound` in a message, None if it has none."""
+    if not message.boot:
+        return None
+    return fleet.CommitBound(
+        message.boot, message.term, message.position, message.covered_revision
+    )
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -338,6 +338,15 @@
         if is_current and answer.position is not None:
             positions = self._node.get_log_positions(context.route.group)
             positions.add(sent_at, answer.position)
+        if is_current:
+            self._node.get_acknowledged_commits(
+                context.route.group
+            ).note_answer(
+                answer.position,
+                sent_at,
+                context.commits_writes and answer.is_success,
+                self._node.view.last_run_end,
+            )
         if answer.outcome is statements.Outcome.NOT_PRIMARY:
             usage.note_not_primary()
         if not context.commits_writes or not answer.is_success:
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions import acknowledged_commits
 from geraniumridge._internal.decisions.distance import estimates
 from geraniumridge._internal.decisions import load_reports
 from geraniumridge._internal.decisions import position_history
@@ -83,6 +84,7 @@
         self.is_registration_written = False
         self._store_regained = trio.Event()
         self._log_positions = {}
+        self._acknowledged_commits = {}
         self._domains = set()
         self._domains_version = None
         self._primary_usages = {}
@@ -113,6 +115,17 @@
             group, position_history.PositionHistory()
         )
 
+    def get_acknowledged_commits(self, group):
+        """Return the bound on a group's commits that this VM passed on."""
+        return self._acknowledged_commits.setdefault(
+            group, acknowledged_commits.AcknowledgedCommits()
+        )
+
+    def make_commit_bound(self, group):
+        """Return the `fleet.CommitBound` of this run, None if unknown."""
+        commits = self.get_acknowledged_commits(group)
+        return commits.make_bound(self.boot, self.view)
+
     def get_primary_usage(self, group):
         """Return this VM's use of a group's primary."""
         found = self._primary_usages.get(group)
--- a/src/geraniumridge/_internal/proxy/primary_revocation.py
+++ b/src/geraniumridge/_internal/proxy/primary_revocation.py
@@ -148,7 +148,9 @@
 
     async def _write_acknowledgement(self, group, revision):
         vm = self._node.settings.vm.name
-        acknowledgement = fleet.Acknowledgement(vm, revision)
+        acknowledgement = fleet.Acknowledgement(
+            vm, revision, self._node.make_commit_bound(group)
+        )
         write = store_port.Write(
             fleet.make_acknowledgement_key(group, vm),
             fleet.encode_record(acknowledgement),
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions import acknowledged_commits
 from geraniumridge._internal.decisions import lost_logs
 from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import succession
@@ -39,6 +40,9 @@
 RETRY_DELAY_S = 0.2
 """Pause before the next attempt at a step that did not complete."""
 
+MAX_LOGGED_VMS = 8
+"""VMs that a log line names at most."""
+
 RESUME_ATTEMPTS = 10
 """Attempts to make replicas resume replication and a former primary step
 down."""
@@ -234,25 +238,59 @@
             self._make_replica(item.target, paused_statuses[item.target.id])
             for item in self._connections.list_others(self._lead.target)
         ]
+        told = self._combine_bounds()
         chosen = succession.choose_successor(
-            replicas, min_position, self._reported_position
+            replicas,
+            acknowledged_commits.find_covering(min_position, told),
+            self._reported_position,
+        )
+        self._log_choice(chosen, replicas, min_position, told)
+        if chosen is None or not self._may_order(chosen.target.id):
+            await self._resume_others()
+            return False
+        new_term = await self._order_promotion(chosen.target.id, chosen.status)
+        if new_term is None:
+            return False
+        return await self._complete(chosen.target.id, new_term)
+
+    def _combine_bounds(self):
+        """Return what the VMs have told of the commits they passed on."""
+        return acknowledged_commits.combine_bounds(
+            self._node.view,
+            lambda vm: succession.list_bounds(
+                vm,
+                self._group,
+                self._revision,
+                self._node.view,
+                self._node.acknowledgements,
+            ),
         )
+
+    def _log_choice(self, chosen, replicas, min_position, told):
+        """Log the choice of a successor, or what its proof lacks.
+
+        `acknowledged` covers the commits that VMs have told. Unless that
+        `is_all_told`, `untold` are VMs that have not, or one that is gone has
+        not. `unbounded` are the replicas that may hold commits which nobody
+        knows of.
+        """
         self._log(
             "successor chosen" if chosen else "no successor proved",
             target=chosen.target.id if chosen else None,
             bound=min_position,
+            acknowledged=told.position,
+            is_all_told=told.is_complete,
+            untold=told.untold[:MAX_LOGGED_VMS],
+            unbounded=[
+                item.target.id
+                for item in replicas
+                if succession.find_bound(item) is None
+            ],
             received={
                 item.target.id: item.status and item.status.received
                 for item in replicas
             },
         )
-        if chosen is None or not self._may_order(chosen.target.id):
-            await self._resume_others()
-            return False
-        new_term = await self._order_promotion(chosen.target.id, chosen.status)
-        if new_term is None:
-            return False
-        return await self._complete(chosen.target.id, new_term)
 
     def _may_order(self, target_id):
         return self._may_continue() and self._may_send_order(target_id)
@@ -276,15 +314,14 @@
         """Return a position that covers what a target held before, if known.
 
         A commit that the primary acknowledged before the target was seen to
-        have left or started again is covered by its answer to a statement
-        sent after that. The newest answer also covers later commits of a
-        target that has only lost the store.
+        have started again is covered by its answer to a statement sent after
+        that.
         """
         since = self._logs.get_loss_time(target_id, self._node.view)
         if since is None:
             return None
         positions = self._node.get_log_positions(self._group)
-        return positions.find_newest_since(since)
+        return positions.find_covering(since)
 
     async def _fetch_covering_position(self):
         """Ask another VM for a covering position if this one has none."""
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions import acknowledged_commits
 from geraniumridge._internal.decisions import limit_holders
 from geraniumridge._internal.decisions import primary_resolver
 from geraniumridge._internal.decisions import succession
@@ -214,10 +215,11 @@
 async def test_replica_that_left_before_the_last_commits_is_not_waited_for(
     cluster, proxy
 ):
-    """The primary's answers since then show that the other one has all."""
+    """The VMs know that the other one has all that they passed on."""
     caller = await cluster.connect(proxy)
     assert is_success(await caller.query("WRITE a 1"))
-    await wait_startup_delay(cluster)
+    # A VM that ran before this one may have used the primary until then.
+    await trio.sleep(acknowledged_commits.LAST_USE_S + 0.2)
     cluster.group.instances["i-2"].crash()
     cluster.store.delete("servers/i-2")
     await proxies.wait_until(lambda: "i-2" not in proxy.node.view.targets)
--- a/tests/unit/decisions/test_succession.py
+++ b/tests/unit/decisions/test_succession.py
@@ -211,16 +211,26 @@
     assert succession.choose_successor(replicas, LogPosition(1, 6)) is None
 
 
+@pytest.mark.parametrize("covering_position", [5, 6, None])
+def test_silent_replica_counts_although_earlier_commits_are_covered(
+    covering_position,
+):
+    """It may have received more since, and the primary confirmed it."""
+    silent = make_replica("b", None, False, covering_position)
+    replicas = [make_replica("a", 5), silent]
+    assert succession.choose_successor(replicas, None) is None
+
+
 @pytest.mark.parametrize(
     ("covering_position", "chosen_id"), [(5, "a"), (6, None), (None, None)]
 )
-def test_departed_replica_counts_unless_its_commits_are_covered(
+def test_restarted_replica_counts_unless_its_commits_are_covered(
     covering_position, chosen_id
 ):
-    departed = make_replica("b", None, False, covering_position)
-    chosen = succession.choose_successor(
-        [make_replica("a", 5), departed], None
-    )
+    restarted = make_replica("b", 3, True, covering_position)
+    restarted = restarted._replace(may_have_lost_log=True)
+    replicas = [make_replica("a", 5), restarted]
+    chosen = succession.choose_successor(replicas, None)
     assert (chosen and chosen.target.id) == chosen_id
 
 
--- a/tests/unit/platform/test_records.py
+++ b/tests/unit/platform/test_records.py
@@ -90,6 +90,12 @@
             fleet.make_acknowledgement_key("g", "vm"),
             fleet.Acknowledgement("vm", 9),
         ),
+        (
+            fleet.make_acknowledgement_key("g", "vm"),
+            fleet.Acknowledgement(
+                "vm", 9, fleet.CommitBound("boot", 1, 40, 7)
+            ),
+        ),
         (
             fleet.make_order_key("g"),
             fleet.PromotionOrder("i-1", 9, "vm"),
