--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -5,18 +5,16 @@
 
 import trio
 
-from geraniumridge._internal.decisions import acknowledged_commits
-from geraniumridge._internal.decisions import lost_logs
 from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
-from geraniumridge._internal.models import records
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import control
 from geraniumridge._internal.proxy import group_connections
 from geraniumridge._internal.proxy import promotion_sender
+from geraniumridge._internal.proxy import successor_search
 from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
@@ -40,9 +38,6 @@
 RETRY_DELAY_S = 0.2
 """Pause before the next attempt at a step that did not complete."""
 
-MAX_LOGGED_VMS = 8
-"""VMs that a log line names at most."""
-
 RESUME_ATTEMPTS = 10
 """Attempts to make replicas resume replication and a former primary step
 down."""
@@ -92,8 +87,9 @@
         self._may_keep_old = may_keep_old
         self._pending_since = pending_since
         self._connections = group_connections.GroupConnections(node, group)
-        self._reported_position = records.LOG_START
-        self._logs = lost_logs.LostLogs()
+        self._search = successor_search.SuccessorSearch(
+            node, group, self._revision, self._connections, self._log
+        )
         self._was_order_logged = False
         self._sender = promotion_sender.PromotionSender(
             node, store, promoter, group, self._revision
@@ -228,23 +224,9 @@
         return False
 
     async def _promote(self, term, min_position):
-        paused_statuses = await control.ask_all(
-            self._connections.list_others(self._lead.target),
-            lambda item: item.pause(term + 1),
+        chosen = await self._search.choose(
+            self._lead.target, term + 1, min_position
         )
-        self._note_reported(paused_statuses.values())
-        await self._fetch_covering_position()
-        replicas = [
-            self._make_replica(item.target, paused_statuses[item.target.id])
-            for item in self._connections.list_others(self._lead.target)
-        ]
-        told = self._combine_bounds()
-        chosen = succession.choose_successor(
-            replicas,
-            acknowledged_commits.find_covering(min_position, told),
-            self._find_known_position(told),
-        )
-        self._log_choice(chosen, replicas, min_position, told)
         if chosen is None or not self._may_order(chosen.target.id):
             await self._resume_others()
             return False
@@ -253,111 +235,9 @@
             return False
         return await self._complete(chosen.target.id, new_term)
 
-    def _combine_bounds(self):
-        """Return what the VMs have told of the commits they passed on."""
-        return acknowledged_commits.combine_bounds(
-            self._node.view,
-            lambda vm: succession.list_bounds(
-                vm,
-                self._group,
-                self._revision,
-                self._node.view,
-                self._node.acknowledgements,
-            ),
-        )
-
-    def _find_known_position(self, told):
-        """Return a position that a successor has to hold at least.
-
-        A replica that started again unseen reports less than VMs have passed
-        on. That counts until the old primary is gone for good.
-        """
-        if not self._is_old_primary_awaited():
-            return self._reported_position
-        return max(self._reported_position, told.position)
-
-    def _is_old_primary_awaited(self):
-        """Return whether the old primary may still return with its log."""
-        return any(
-            item.target.id == self._lead.target for item in self._connections
-        )
-
-    def _log_choice(self, chosen, replicas, min_position, told):
-        """Log the choice of a successor, or what its proof lacks.
-
-        `acknowledged` covers the commits that VMs have told. Unless that
-        `is_all_told`, `untold` are VMs that have not, or one that is gone has
-        not. `unbounded` are the replicas that may hold commits which nobody
-        knows of.
-        """
-        self._log(
-            "successor chosen" if chosen else "no successor proved",
-            target=chosen.target.id if chosen else None,
-            bound=min_position,
-            acknowledged=told.position,
-            is_all_told=told.is_complete,
-            untold=told.untold[:MAX_LOGGED_VMS],
-            unbounded=[
-                item.target.id
-                for item in replicas
-                if succession.find_bound(item) is None
-            ],
-            received={
-                item.target.id: item.status and item.status.received
-                for item in replicas
-            },
-        )
-
     def _may_order(self, target_id):
         return self._may_continue() and self._may_send_order(target_id)
 
-    def _make_replica(self, target, status):
-        return succession.Replica(
-            target,
-            status,
-            self._connections.may_be_promoted(target.id),
-            self._find_covering_position(target.id),
-            self._logs.may_be_lost(
-                target.id,
-                status,
-                self._reported_position,
-                self._node.view,
-                clock.now(),
-            ),
-        )
-
-    def _find_covering_position(self, target_id):
-        """Return a position that covers what a target held before, if known.
-
-        A commit that the primary acknowledged before the target was seen to
-        have started again is covered by its answer to a statement sent after
-        that.
-        """
-        since = self._logs.get_loss_time(target_id, self._node.view)
-        if since is None:
-            return None
-        positions = self._node.get_log_positions(self._group)
-        return positions.find_covering(since)
-
-    async def _fetch_covering_position(self):
-        """Ask another VM for a covering position if this one has none."""
-        loss_times = [
-            self._logs.get_loss_time(item.target.id, self._node.view)
-            for item in self._connections
-        ]
-        since = max(
-            (item for item in loss_times if item is not None), default=None
-        )
-        if since is not None:
-            await self._node.position_exchange.fetch(self._group, since)
-
-    def _note_reported(self, statuses):
-        for status in statuses:
-            if status is not None:
-                self._reported_position = max(
-                    self._reported_position, status.received
-                )
-
     async def _order_promotion(self, target_id, former_status):
         """Order a promotion; return the target's term once it leads.
 
