Take a replica that started again for whole only by an answer of the primary

What callers would see: acknowledged commits are gone.

Cause: a time in place of evidence. How long a replica copies its log depends on the log.

Change: a restart is remembered as long as the target is, and counts until the old primary has not been registered for 30 s. An answer of the primary sent after the restart bounds what the replica had before, as it did; without one, what the VMs tell is the other way to prove it.

Tests changed: test_log_of_a_restarted_replica_may_be_lost_for_a_while asked for the end after 30 s; the one in its place asks that there is none.

--- a/src/geraniumridge/_internal/decisions/lost_logs.py
+++ b/src/geraniumridge/_internal/decisions/lost_logs.py
@@ -4,8 +4,6 @@
 received. Its status then does not tell which commits it had acknowledged.
 """
 
-from geraniumridge._internal.decisions import target_sets
-
 REGISTRATION_WAIT_S = 5.0
 """How long a replica whose log is empty counts as started again although the
 view does not show that. It registers within a heartbeat, and the view follows
@@ -43,8 +41,10 @@
         ]
         return max((item for item in times if item is not None), default=None)
 
-    def may_be_lost(self, target_id, status, reported_position, view, now):
-        """Return whether a replica may have lost its log lately.
+    def may_be_lost(
+        self, target_id, status, reported_position, view, now, is_old_awaited
+    ):
+        """Return whether a replica may have lost a log that it had.
 
         Parameters
         ----------
@@ -58,16 +58,17 @@
             The store view.
         now : float
             Clock time, in seconds.
+        is_old_awaited : bool
+            Whether the old primary may still return with its log.
 
         Returns
         -------
         bool
-            False again once the primary has had
-            `target_sets.DEPARTED_TARGET_WAIT_S` to return with its log.
+            For a replica that is known to have started again, it does not
+            depend on the time since: copying a log may take any time.
         """
-        restarted_at = view.get_restart_time(target_id)
-        if restarted_at is not None:
-            return now - restarted_at <= target_sets.DEPARTED_TARGET_WAIT_S
+        if view.get_restart_time(target_id) is not None:
+            return is_old_awaited
         if status is None:
             return False
         if status.received.position:
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -207,7 +207,7 @@
     def get_restart_time(self, target_id):
         """Return the clock time at which a target's restart was seen.
 
-        None unless it started again under its id, and once that is
+        None unless it started again under its id, and once the target is
         forgotten.
         """
         return self._restart_times.get(target_id)
@@ -320,8 +320,12 @@
         for target_id, item in list(self._removed_targets.items()):
             if now - item.seen_at > REMOVED_RETENTION_S:
                 del self._removed_targets[target_id]
-        for target_id, seen_at in list(self._restart_times.items()):
-            if now - seen_at > REMOVED_RETENTION_S:
+        for target_id in list(self._restart_times):
+            is_known = (
+                target_id in self._targets
+                or target_id in self._removed_targets
+            )
+            if not is_known:
                 del self._restart_times[target_id]
         for expired_id, deadline in list(self._expiry_deadlines.items()):
             if now >= deadline:
--- a/src/geraniumridge/_internal/proxy/successor_search.py
+++ b/src/geraniumridge/_internal/proxy/successor_search.py
@@ -63,7 +63,9 @@
         await self._fetch_covering_position()
         is_old_awaited = self._is_awaited(old_target)
         replicas = [
-            self._make_replica(item.target, statuses[item.target.id])
+            self._make_replica(
+                item.target, statuses[item.target.id], is_old_awaited
+            )
             for item in connections
         ]
         told = self._combine_bounds()
@@ -98,7 +100,7 @@
         """Return whether a target may still return with its log."""
         return any(item.target.id == target_id for item in self._connections)
 
-    def _make_replica(self, target, status):
+    def _make_replica(self, target, status, is_old_awaited):
         return succession.Replica(
             target,
             status,
@@ -110,6 +112,7 @@
                 self._reported_position,
                 self._node.view,
                 clock.now(),
+                is_old_awaited,
             ),
         )
 
--- a/tests/unit/decisions/test_lost_logs.py
+++ b/tests/unit/decisions/test_lost_logs.py
@@ -2,7 +2,6 @@
 
 from geraniumridge._internal.decisions import lost_logs
 from geraniumridge._internal.decisions import succession
-from geraniumridge._internal.decisions import target_sets
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import records
@@ -31,9 +30,14 @@
     )
 
 
-def may_be_lost(store_view, position, now, logs=None):
+def may_be_lost(store_view, position, now, logs=None, is_old_awaited=True):
     return (logs or lost_logs.LostLogs()).may_be_lost(
-        "i-1", make_status(position), REPORTED, store_view, now
+        "i-1",
+        make_status(position),
+        REPORTED,
+        store_view,
+        now,
+        is_old_awaited,
     )
 
 
@@ -51,14 +55,26 @@
     assert made.get_restart_time("i-1") == 5.0
 
 
-def test_log_of_a_restarted_replica_may_be_lost_for_a_while():
+def test_log_of_a_restarted_replica_may_be_lost_however_long_ago():
+    """It may still copy; only an answer of the primary bounds what it had."""
     made = make_view(1, 2)
-    assert may_be_lost(made, 30, RESTARTED_AT + 1)
-    ends_at = RESTARTED_AT + target_sets.DEPARTED_TARGET_WAIT_S
-    assert not may_be_lost(made, 30, ends_at + 1)
+    late = RESTARTED_AT + 10 * view.REMOVED_RETENTION_S
+    made.expire(late)
+    for now in (RESTARTED_AT + 1, late):
+        assert may_be_lost(made, 30, now)
+        assert not may_be_lost(made, 30, now, is_old_awaited=False)
     assert not may_be_lost(make_view(1), 30, RESTARTED_AT)
 
 
+def test_restart_is_forgotten_with_the_target():
+    made = make_view(1, 2)
+    made.apply(20.0, store.Changes((store.Item("servers/i-1", None, 9),), 9))
+    made.expire(20.0 + view.REMOVED_RETENTION_S - 1)
+    assert made.get_restart_time("i-1") == RESTARTED_AT
+    made.expire(20.0 + view.REMOVED_RETENTION_S + 1)
+    assert made.get_restart_time("i-1") is None
+
+
 def test_empty_log_may_be_lost_before_the_restart_is_registered():
     """Guards against a status that is newer than the store view."""
     logs = lost_logs.LostLogs()
