Let only commits tell which commits were passed on

An answer to a read was taken, once, to cover the runs of VMs that had ended. It may come from an instance that started again and leads no more, whose log is short; a commit can't. Found in reading, not seen in a run. No read counts now.

--- a/src/geraniumridge/_internal/decisions/acknowledged_commits.py
+++ b/src/geraniumridge/_internal/decisions/acknowledged_commits.py
@@ -3,23 +3,18 @@
 Every acknowledgement of a commit passes through a VM. Once the VMs no longer
 use a primary, each tells a position of its log that covers the commits that
 it passed on itself. A run of the daemon that has ended tells nothing; its
-commits are covered by any answer of the primary to a statement that was sent
-after the run could last use it. ``docs/design/promotion-proof.md`` has the
-argument.
+commits are covered by any commit that was sent `succession.FENCE_TIMEOUT_S`
+after its end was seen: its registration may have ended before it, but it
+cannot use the primary for longer than that.
+``docs/design/promotion-proof.md`` has the argument.
 """
 
 import typing
 
-from geraniumridge._internal.decisions import primary_resolver
+from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.models import records
 
-LAST_USE_S = (
-    primary_resolver.MAX_VIEW_AGE_S + primary_resolver.SCHEDULING_MARGIN_S
-)
-"""How long a run of the daemon may use a primary after its end was seen: its
-registration may have ended before the run."""
-
 
 class AcknowledgedCommits:
     """Bound on the commits of one group that this VM passed on."""
@@ -29,8 +24,8 @@
         self._covered_end = 0
         self._is_known = True
 
-    def note_answer(self, log_position, sent_at, is_commit, run_end):
-        """Note an answer of the primary.
+    def note_commit(self, log_position, sent_at, run_end):
+        """Note a commit that the primary has acknowledged.
 
         Parameters
         ----------
@@ -38,24 +33,18 @@
             End of the primary's log, None if it told none.
         sent_at : float
             Clock time, in seconds, at which the statement was sent.
-        is_commit : bool
-            Whether the answer acknowledges a commit.
         run_end : decisions.view.RunEnd or None
             The newest end of a run that the view shows, None without a
             view.
         """
         if log_position is None:
-            self._is_known = self._is_known and not is_commit
+            self._is_known = False
             return
-        covers_ends = (
-            run_end is not None
-            and run_end.revision > self._covered_end
-            and sent_at >= run_end.seen_at + LAST_USE_S
-        )
-        if covers_ends:
+        self._position = max(self._position, log_position)
+        if run_end is None:
+            return
+        if sent_at >= run_end.seen_at + succession.FENCE_TIMEOUT_S:
             self._covered_end = run_end.revision
-        if is_commit or covers_ends:
-            self._position = max(self._position, log_position)
 
     def make_bound(self, boot, view):
         """Return the `fleet.CommitBound` of this run, None if unknown.
@@ -96,23 +85,33 @@
         return self.is_covered and not self.untold
 
 
-def combine_bounds(view, list_bounds):
-    """Return the `ToldBounds` of all VMs.
+def combine_bounds(view, received, group, revision):
+    """Return the `ToldBounds` of all VMs for a failover.
 
     Parameters
     ----------
     view : decisions.view.View
-        A view at least as new as the failover's leadership record.
-    list_bounds : callable
-        Returns the `fleet.CommitBound` that a VM has told with its
-        acknowledgement of this failover, those of earlier runs included.
+        A view at least as new as the failover's leadership record, with the
+        acknowledgements in the store.
+    received : succession.Acknowledgements
+        Those that reached this VM directly.
+    group : str
+        The group.
+    revision : int
+        Revision of the failover's leadership record.
     """
-    all_bounds = {vm: list_bounds(vm) for vm in view.members}
-    told = [bound for bounds in all_bounds.values() for bound in bounds]
+    bounds_by_vm = {
+        vm: [
+            *received.list_bounds(vm, group, revision),
+            *_list_stored_bounds(view, vm, group, revision),
+        ]
+        for vm in view.members
+    }
+    told = [bound for bounds in bounds_by_vm.values() for bound in bounds]
     untold = (
         vm
         for vm, member in view.members.items()
-        if all(bound.boot != member.boot for bound in all_bounds[vm])
+        if all(bound.boot != member.boot for bound in bounds_by_vm[vm])
     )
     run_end = view.last_run_end
     return ToldBounds(
@@ -126,6 +125,13 @@
     )
 
 
+def _list_stored_bounds(view, vm, group, revision):
+    stored = view.list_acknowledgements(group).get(vm)
+    if stored is None or stored.revision != revision or stored.bound is None:
+        return []
+    return [stored.bound]
+
+
 def find_covering(old_position, told):
     """Return a position that covers every acknowledged commit.
 
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -179,35 +179,6 @@
         return now - expired_at > primary_resolver.SCHEDULING_MARGIN_S
 
 
-def list_bounds(vm, group, revision, view, received):
-    """Return what a VM has told with its acknowledgement of a failover.
-
-    Parameters
-    ----------
-    vm : str
-        The VM.
-    group : str
-        The group.
-    revision : int
-        Revision of the failover's leadership record.
-    view : decisions.view.View
-        The store view, with the acknowledgements in the store.
-    received : Acknowledgements
-        Those that reached this VM directly.
-
-    Returns
-    -------
-    list of fleet.CommitBound
-        Of the VM's runs that told one.
-    """
-    bounds = received.list_bounds(vm, group, revision)
-    stored = view.list_acknowledgements(group).get(vm)
-    is_current = stored is not None and stored.revision == revision
-    if is_current and stored.bound is not None:
-        bounds.append(stored.bound)
-    return bounds
-
-
 def find_promoted_target(lead, statuses):
     """Return the target that an earlier attempt has promoted.
 
--- a/src/geraniumridge/_internal/proxy/acknowledgement_exchange.py
+++ b/src/geraniumridge/_internal/proxy/acknowledgement_exchange.py
@@ -73,7 +73,7 @@
 
     async def _note_message(self, message, sender):
         is_noted = self._note(
-            message.vm, message.group, message.revision, _find_bound(message)
+            message.vm, message.group, message.revision, _read_bound(message)
         )
         if is_noted:
             receipt = datagrams.messages.AcknowledgementReceipt(
@@ -99,7 +99,7 @@
     )
 
 
-def _find_bound(message):
+def _read_bound(message):
     """Return the `fleet.CommitBound` in a message, None if it has none."""
     if not message.boot:
         return None
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -333,26 +333,24 @@
         sent has ended, or if the VM can no longer prove that the target
         was primary.
         """
-        usage = self._node.get_primary_usage(context.route.group)
+        group = context.route.group
+        usage = self._node.get_primary_usage(group)
         is_current = usage.epoch == epoch
+        is_commit = context.commits_writes and answer.is_success
         if is_current and answer.position is not None:
-            positions = self._node.get_log_positions(context.route.group)
+            positions = self._node.get_log_positions(group)
             positions.add(sent_at, answer.position)
-        if is_current:
-            self._node.get_acknowledged_commits(
-                context.route.group
-            ).note_answer(
-                answer.position,
-                sent_at,
-                context.commits_writes and answer.is_success,
-                self._node.view.last_run_end,
+        if is_current and is_commit:
+            commits = self._node.get_acknowledged_commits(group)
+            commits.note_commit(
+                answer.position, sent_at, self._node.view.last_run_end
             )
         if answer.outcome is statements.Outcome.NOT_PRIMARY:
             usage.note_not_primary()
-        if not context.commits_writes or not answer.is_success:
+        if not is_commit:
             return answer
         may_use_primary = self._node.primary_resolver.may_use_primary(
-            context.route.group, clock.now()
+            group, clock.now()
         )
         if not is_current or not may_use_primary:
             return answer._replace(
--- a/src/geraniumridge/_internal/proxy/successor_search.py
+++ b/src/geraniumridge/_internal/proxy/successor_search.py
@@ -68,7 +68,12 @@
             )
             for item in connections
         ]
-        told = self._combine_bounds()
+        told = acknowledged_commits.combine_bounds(
+            self._node.view,
+            self._node.acknowledgements,
+            self._group,
+            self._revision,
+        )
         chosen = succession.choose_successor(
             replicas,
             acknowledged_commits.find_covering(old_position, told),
@@ -129,19 +134,6 @@
         positions = self._node.get_log_positions(self._group)
         return positions.find_covering(since)
 
-    def _combine_bounds(self):
-        """Return what the VMs have told of the commits they passed on."""
-        return acknowledged_commits.combine_bounds(
-            self._node.view,
-            lambda vm: succession.list_bounds(
-                vm,
-                self._group,
-                self._revision,
-                self._node.view,
-                self._node.acknowledgements,
-            ),
-        )
-
     def _find_known_position(self, told, is_old_awaited):
         """Return a position that a successor has to hold at least.
 
