Bound replicas that left or started again by what any VM knows

A replica that had left had no bound any more. The platform's pages say that a missing entry means gone, so a position read after its removal bounds it again. If it only lost the store, what VMs have passed on speaks against the others (`known_position`).

A replica that had started again was whole only by an answer that this VM's domain knew. In a large fleet few VMs send a group's primary anything, and the mark of a restart lasts. Each VM tells now also which revision of the store it knew as it sent its newest commit; one that is as new as the restart's bounds what the replica had before. Found in reading; shown by test_restart_is_covered_by_a_commit_of_another_vm.

--- a/src/geraniumridge/_internal/decisions/acknowledged_commits.py
+++ b/src/geraniumridge/_internal/decisions/acknowledged_commits.py
@@ -22,9 +22,10 @@
     def __init__(self):
         self._position = records.LOG_START
         self._covered_end = 0
+        self._sent_revision = 0
         self._is_known = True
 
-    def note_commit(self, log_position, sent_at, run_end):
+    def note_commit(self, log_position, sent_at, sent_revision, run_end):
         """Note a commit that the primary has acknowledged.
 
         Parameters
@@ -33,6 +34,8 @@
             End of the primary's log, None if it told none.
         sent_at : float
             Clock time, in seconds, at which the statement was sent.
+        sent_revision : int
+            Revision of the store that the view had reached by then.
         run_end : decisions.view.RunEnd or None
             The newest end of a run that the view shows, None without a
             view.
@@ -41,6 +44,7 @@
             self._is_known = False
             return
         self._position = max(self._position, log_position)
+        self._sent_revision = max(self._sent_revision, sent_revision)
         if run_end is None:
             return
         if sent_at >= run_end.seen_at + succession.FENCE_TIMEOUT_S:
@@ -64,17 +68,20 @@
             run_end is not None and run_end.revision <= self._covered_end
         )
         covered_revision = view.revision if is_covered else 0
-        return fleet.CommitBound(boot, *self._position, covered_revision)
+        return fleet.CommitBound(
+            boot, *self._position, covered_revision, self._sent_revision
+        )
 
 
 class ToldBounds(typing.NamedTuple):
     """What the VMs have told of the commits that they passed on.
 
-    `position` is the highest that one has told. It covers all commits unless
+    `position` is the highest of the `bounds`. It covers all commits unless
     VMs are `untold`, which have told none, or runs that ended are not
     covered.
     """
 
+    bounds: tuple[fleet.CommitBound, ...]
     position: records.LogPosition
     untold: tuple[str, ...]
     is_covered: bool
@@ -84,6 +91,21 @@
         """Whether `position` covers every commit that was passed on."""
         return self.is_covered and not self.untold
 
+    def find_covering(self, revision):
+        """Return the least position of a commit sent after a revision.
+
+        It covers all commits that were acknowledged before the store had
+        reached the revision. None if no VM has told one.
+        """
+        return min(
+            (
+                item.log_position
+                for item in self.bounds
+                if item.sent_revision >= revision
+            ),
+            default=None,
+        )
+
 
 def combine_bounds(view, received, group, revision):
     """Return the `ToldBounds` of all VMs for a failover.
@@ -107,7 +129,7 @@
         ]
         for vm in view.members
     }
-    told = [bound for bounds in bounds_by_vm.values() for bound in bounds]
+    told = tuple(bound for bounds in bounds_by_vm.values() for bound in bounds)
     untold = (
         vm
         for vm, member in view.members.items()
@@ -115,10 +137,8 @@
     )
     run_end = view.last_run_end
     return ToldBounds(
-        max(
-            (records.LogPosition(item.term, item.position) for item in told),
-            default=records.LOG_START,
-        ),
+        told,
+        max((item.log_position for item in told), default=records.LOG_START),
         tuple(sorted(untold)),
         run_end is not None
         and any(item.covered_revision >= run_end.revision for item in told),
--- a/src/geraniumridge/_internal/decisions/lost_logs.py
+++ b/src/geraniumridge/_internal/decisions/lost_logs.py
@@ -34,13 +34,47 @@
         float or None
             In seconds; None if neither is known.
         """
+        restart = view.get_restart(target_id)
         times = [
             view.get_removal_time(target_id),
-            view.get_restart_time(target_id),
+            restart.seen_at if restart else None,
             self._empty_since.get(target_id),
         ]
         return max((item for item in times if item is not None), default=None)
 
+    def find_covering(self, target_id, view, positions, told):
+        """Return a position that covers what a target held before its loss.
+
+        Every commit acknowledged before that is covered by an answer of the
+        primary to a statement sent after it, of this VM or of one that has
+        told its commits.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        view : decisions.view.View
+            The store view.
+        positions : decisions.position_history.PositionHistory
+            Positions of the primary that this VM knows.
+        told : decisions.acknowledged_commits.ToldBounds
+            What the VMs have told of the commits that they passed on.
+
+        Returns
+        -------
+        records.LogPosition or None
+            The least that is known; None if none is, or without a loss.
+        """
+        since = self.get_loss_time(target_id, view)
+        if since is None:
+            return None
+        found = [positions.find_covering(since)]
+        restart = view.get_restart(target_id)
+        # A later loss, of which the store has no revision yet, isn't covered.
+        if restart is not None and restart.seen_at == since:
+            found.append(told.find_covering(restart.revision))
+        return min((item for item in found if item is not None), default=None)
+
     def may_be_lost(
         self, target_id, status, reported_position, view, now, is_old_awaited
     ):
@@ -67,7 +101,7 @@
             For a replica that is known to have started again, it does not
             depend on the time since: copying a log may take any time.
         """
-        if view.get_restart_time(target_id) is not None:
+        if view.get_restart(target_id) is not None:
             return is_old_awaited
         if status is None:
             return False
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -28,9 +28,9 @@
     `may_be_promoted` is false of a target that is draining, evacuated or
     no longer registered; its status still counts. `may_have_lost_log` is
     whether it may have started again without its log, so that its status
-    does not tell what it held before. `covering_position` is then a log
-    position that covers every commit that it received before it started
-    again, None if none is known.
+    does not tell what it held before. `has_left` is whether its entry was
+    removed. `covering_position` is a log position that covers every commit
+    that it received before it left or started again, None if none is known.
     """
 
     target: desired.Target
@@ -38,6 +38,7 @@
     may_be_promoted: bool
     covering_position: records.LogPosition | None = None
     may_have_lost_log: bool = False
+    has_left: bool = False
 
 
 class Acknowledgements:
@@ -262,11 +263,12 @@
 def find_bound(replica):
     """Return a position up to which a replica may hold commits, or None.
 
-    Its earlier runs count, too. A silent replica has no bound: whatever is
-    known of the time before, it may have gone on receiving commits.
+    Its earlier runs count, too. A replica that is registered and silent has
+    no bound: whatever is known of the time before, it may have gone on
+    receiving commits.
     """
     if replica.status is None:
-        return None
+        return replica.covering_position if replica.has_left else None
     received = replica.status.received
     if not replica.may_have_lost_log:
         return received
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -40,6 +40,16 @@
     was_registered: bool = True
 
 
+class Restart(typing.NamedTuple):
+    """A target's start under the id that it had, and when that was seen.
+
+    `revision` is that of the store's change that showed it.
+    """
+
+    seen_at: float
+    revision: int
+
+
 class RunEnd(typing.NamedTuple):
     """The newest end of a VM's run, and when that was seen.
 
@@ -96,7 +106,7 @@
         self._usage_records = {}
         self._expiry_deadlines = {}
         self._removed_targets = {}
-        self._restart_times = {}
+        self._restarts = {}
         self._complete_since = None
         self._outage_ended_at = None
         self._last_run_end = None
@@ -204,13 +214,13 @@
             return None
         return item.seen_at
 
-    def get_restart_time(self, target_id):
-        """Return the clock time at which a target's restart was seen.
+    def get_restart(self, target_id):
+        """Return a target's newest `Restart`.
 
         None unless it started again under its id, and once the target is
         forgotten.
         """
-        return self._restart_times.get(target_id)
+        return self._restarts.get(target_id)
 
     def list_recently_removed(self, group, now, within_s):
         """Return a group's targets that were removed recently."""
@@ -320,13 +330,13 @@
         for target_id, item in list(self._removed_targets.items()):
             if now - item.seen_at > REMOVED_RETENTION_S:
                 del self._removed_targets[target_id]
-        for target_id in list(self._restart_times):
+        for target_id in list(self._restarts):
             is_known = (
                 target_id in self._targets
                 or target_id in self._removed_targets
             )
             if not is_known:
-                del self._restart_times[target_id]
+                del self._restarts[target_id]
         for expired_id, deadline in list(self._expiry_deadlines.items()):
             if now >= deadline:
                 del self._expiry_deadlines[expired_id]
@@ -367,7 +377,7 @@
         if isinstance(record, desired.DesiredState):
             self._state = record
         elif isinstance(record, desired.Target):
-            self._note_restart(now, record)
+            self._note_restart(now, item.revision, record)
             self._add_target(record)
         elif isinstance(record, Evacuation):
             self._evacuated.add(record.domain)
@@ -423,12 +433,12 @@
         elif isinstance(record, fleet.UsageRecord):
             self._usage_records.pop(fleet.parse_usage_window(key), None)
 
-    def _note_restart(self, now, target):
+    def _note_restart(self, now, revision, target):
         known = self._targets.get(target.id) or self.find_departed(target.id)
         if known is None or not known.started_ms:
             return
         if known.started_ms != target.started_ms:
-            self._restart_times[target.id] = now
+            self._restarts[target.id] = Restart(now, revision)
 
     def _add_target(self, target):
         known = self._targets.get(target.id)
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import records
 from geraniumridge._internal.utils import addresses
 from geraniumridge._internal.utils import codec
 
@@ -75,13 +76,20 @@
 
     `term` and `position` are a log position of the primary that covers them
     all. It also covers what the daemons passed on whose end the store showed
-    up to the revision `covered_revision`. `boot` is that of the run.
+    up to the revision `covered_revision`, and all commits acknowledged before
+    the store had reached `sent_revision`. `boot` is that of the run.
     """
 
     boot: str
     term: Count
     position: Count
     covered_revision: Count
+    sent_revision: Count = 0
+
+    @property
+    def log_position(self):
+        """`term` and `position` as a `records.LogPosition`."""
+        return records.LogPosition(self.term, self.position)
 
 
 class Acknowledgement(typing.NamedTuple):
--- a/src/geraniumridge/_internal/network/peer_messages.py
+++ b/src/geraniumridge/_internal/network/peer_messages.py
@@ -212,6 +212,7 @@
         6: (TType.I64, "term", False),
         7: (TType.I64, "position", False),
         8: (TType.I64, "covered_revision", False),
+        9: (TType.I64, "sent_revision", False),
     }
     default_spec = [
         ("number", None),
@@ -222,6 +223,7 @@
         ("term", 0),
         ("position", 0),
         ("covered_revision", 0),
+        ("sent_revision", 0),
     ]
 
 
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -129,6 +129,7 @@
   6: optional i64 term = 0
   7: optional i64 position = 0
   8: optional i64 covered_revision = 0
+  9: optional i64 sent_revision = 0
 }
 
 /** Confirms that an acknowledgement has been recorded. */
--- a/src/geraniumridge/_internal/proxy/acknowledgement_exchange.py
+++ b/src/geraniumridge/_internal/proxy/acknowledgement_exchange.py
@@ -104,5 +104,9 @@
     if not message.boot:
         return None
     return fleet.CommitBound(
-        message.boot, message.term, message.position, message.covered_revision
+        message.boot,
+        message.term,
+        message.position,
+        message.covered_revision,
+        message.sent_revision,
     )
--- a/src/geraniumridge/_internal/proxy/attempt.py
+++ b/src/geraniumridge/_internal/proxy/attempt.py
@@ -274,6 +274,7 @@
             destination.is_primary,
         )
         sent_at = clock.now()
+        sent_revision = self._node.view.revision
         call_number = pool.load.begin(sent_at)
         usage_counter = None
         if context.begins_operation:
@@ -318,7 +319,7 @@
         _note_outcome(pool.load, answer, sent_at)
         if destination.is_primary:
             answer = self._check_primary_answer(
-                context, answer, sent_at, epoch
+                context, answer, sent_at, sent_revision, epoch
             )
             self._node.position_exchange.notify_keeper(context.route.group)
         if answer.state is statements.TransactionState.OPEN:
@@ -326,9 +327,12 @@
         self._return_connection(pool, connection, answer)
         return AttemptResult(answer, None, epoch)
 
-    def _check_primary_answer(self, context, answer, sent_at, epoch):
+    def _check_primary_answer(
+        self, context, answer, sent_at, sent_revision, epoch
+    ):
         """Return a primary's answer, checked against a change of primary.
 
+        `sent_revision` is the revision of the view when it was sent.
         A successful write becomes IN_DOUBT if the epoch in which it was
         sent has ended, or if the VM can no longer prove that the target
         was primary.
@@ -343,7 +347,10 @@
         if is_current and is_commit:
             commits = self._node.get_acknowledged_commits(group)
             commits.note_commit(
-                answer.position, sent_at, self._node.view.last_run_end
+                answer.position,
+                sent_at,
+                sent_revision,
+                self._node.view.last_run_end,
             )
         if answer.outcome is statements.Outcome.NOT_PRIMARY:
             usage.note_not_primary()
--- a/src/geraniumridge/_internal/proxy/successor_search.py
+++ b/src/geraniumridge/_internal/proxy/successor_search.py
@@ -62,18 +62,18 @@
         self._note_reported(statuses.values())
         await self._fetch_covering_position()
         is_old_awaited = self._is_awaited(old_target)
-        replicas = [
-            self._make_replica(
-                item.target, statuses[item.target.id], is_old_awaited
-            )
-            for item in connections
-        ]
         told = acknowledged_commits.combine_bounds(
             self._node.view,
             self._node.acknowledgements,
             self._group,
             self._revision,
         )
+        replicas = [
+            self._make_replica(
+                item.target, statuses[item.target.id], told, is_old_awaited
+            )
+            for item in connections
+        ]
         chosen = succession.choose_successor(
             replicas,
             acknowledged_commits.find_covering(old_position, told),
@@ -105,12 +105,17 @@
         """Return whether a target may still return with its log."""
         return any(item.target.id == target_id for item in self._connections)
 
-    def _make_replica(self, target, status, is_old_awaited):
+    def _make_replica(self, target, status, told, is_old_awaited):
         return succession.Replica(
             target,
             status,
             self._connections.may_be_promoted(target.id),
-            self._find_covering_position(target.id),
+            self._logs.find_covering(
+                target.id,
+                self._node.view,
+                self._node.get_log_positions(self._group),
+                told,
+            ),
             self._logs.may_be_lost(
                 target.id,
                 status,
@@ -119,21 +124,9 @@
                 clock.now(),
                 is_old_awaited,
             ),
+            target.id not in self._node.view.targets,
         )
 
-    def _find_covering_position(self, target_id):
-        """Return a position that covers what a target held before, if known.
-
-        A commit that the primary acknowledged before the target was seen to
-        have started again is covered by its answer to a statement sent after
-        that.
-        """
-        since = self._logs.get_loss_time(target_id, self._node.view)
-        if since is None:
-            return None
-        positions = self._node.get_log_positions(self._group)
-        return positions.find_covering(since)
-
     def _find_known_position(self, told, is_old_awaited):
         """Return a position that a successor has to hold at least.
 
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -214,11 +214,10 @@
 async def test_replica_that_left_before_the_last_commits_is_not_waited_for(
     cluster, proxy
 ):
-    """The VMs know that the other one has all that they passed on."""
+    """The primary's answers since then show that the other one has all."""
     caller = await cluster.connect(proxy)
     assert is_success(await caller.query("WRITE a 1"))
-    # A VM that ran before this one may have used the primary until then.
-    await trio.sleep(succession.FENCE_TIMEOUT_S + 0.2)
+    await wait_startup_delay(cluster)
     cluster.group.instances["i-2"].crash()
     cluster.store.delete("servers/i-2")
     await proxies.wait_until(lambda: "i-2" not in proxy.node.view.targets)
--- a/tests/functional/test_proxy_promotion_proof.py
+++ b/tests/functional/test_proxy_promotion_proof.py
@@ -52,7 +52,7 @@
             assert is_success(await writer.query("WRITE a 1"))
             await restart_without_log(cluster, "i-2")
             await proxies.wait_until(
-                lambda: quiet.node.view.get_restart_time("i-2")
+                lambda: quiet.node.view.get_restart("i-2")
             )
             assert is_success(await writer.query("WRITE b 1"))
             reader = await cluster.connect(quiet)
--- a/tests/unit/decisions/test_acknowledged_commits.py
+++ b/tests/unit/decisions/test_acknowledged_commits.py
@@ -40,8 +40,10 @@
     )
 
 
-def make_bound(position, covered_revision=0, boot="b"):
-    return fleet.CommitBound(boot, 1, position, covered_revision)
+def make_bound(position, covered_revision=0, sent_revision=3, boot="b"):
+    return fleet.CommitBound(
+        boot, 1, position, covered_revision, sent_revision
+    )
 
 
 def test_commits_are_covered_by_the_highest_position():
@@ -49,19 +51,19 @@
     made = make_view(b="b")
     assert commits.make_bound("b", made) == fleet.CommitBound("b", 0, 0, 0)
     for position in (7, 5):
-        commits.note_commit(LogPosition(1, position), 0.0, None)
+        commits.note_commit(LogPosition(1, position), 0.0, 3, None)
     assert commits.make_bound("b", made) == make_bound(7)
-    commits.note_commit(LogPosition(2, 3), 0.0, None)
-    assert commits.make_bound("b", made) == fleet.CommitBound("b", 2, 3, 0)
+    commits.note_commit(LogPosition(2, 3), 0.0, 3, None)
+    assert commits.make_bound("b", made) == fleet.CommitBound("b", 2, 3, 0, 3)
 
 
 def test_commit_covers_runs_that_could_not_use_the_primary_any_more():
     commits = acknowledged_commits.AcknowledgedCommits()
     made = make_view(b="b")
     covers_at = RUN_END.seen_at + succession.FENCE_TIMEOUT_S
-    commits.note_commit(LogPosition(1, 7), covers_at - 0.1, RUN_END)
+    commits.note_commit(LogPosition(1, 7), covers_at - 0.1, 3, RUN_END)
     assert commits.make_bound("b", made) == make_bound(7)
-    commits.note_commit(LogPosition(1, 8), covers_at, RUN_END)
+    commits.note_commit(LogPosition(1, 8), covers_at, 3, RUN_END)
     assert commits.make_bound("b", made) == make_bound(8, RUN_END.revision)
     change_member(made, "other", "b", 20.0, 9)
     assert commits.make_bound("b", made) == make_bound(8, 9)
@@ -71,21 +73,21 @@
 
 def test_bound_is_unknown_after_a_commit_without_a_position():
     commits = acknowledged_commits.AcknowledgedCommits()
-    commits.note_commit(None, 0.0, None)
-    commits.note_commit(LogPosition(1, 7), 0.0, None)
+    commits.note_commit(None, 0.0, 3, None)
+    commits.note_commit(LogPosition(1, 7), 0.0, 3, None)
     assert commits.make_bound("b", make_view(b="b")) is None
 
 
 def test_bound_that_no_message_can_hold_is_unknown():
     commits = acknowledged_commits.AcknowledgedCommits()
-    commits.note_commit(LogPosition(1, fleet.MAX_COUNT + 1), 0.0, None)
+    commits.note_commit(LogPosition(1, fleet.MAX_COUNT + 1), 0.0, 3, None)
     assert commits.make_bound("b", make_view(b="b")) is None
 
 
 def test_bounds_of_all_members_are_combined():
     made = make_view(**{"vm-1": "b", "vm-2": "b"})
     told = combine(made, **{"vm-1": make_bound(7, 5), "vm-2": make_bound(9)})
-    assert told == acknowledged_commits.ToldBounds(LogPosition(1, 9), (), True)
+    assert told.is_complete and told.position == LogPosition(1, 9)
 
 
 def test_member_that_has_told_nothing_is_named():
@@ -145,3 +147,18 @@
     made.apply(11.0, store.Changes((item,), 51))
     told = combine(made)
     assert told.is_complete and told.position == LogPosition(1, 7)
+
+
+def test_least_position_of_a_commit_sent_after_a_revision_covers_it():
+    made = make_view(**{"vm-1": "b", "vm-2": "b", "vm-3": "b"})
+    told = combine(
+        made,
+        **{
+            "vm-1": make_bound(7, sent_revision=3),
+            "vm-2": make_bound(9, sent_revision=6),
+            "vm-3": make_bound(12, sent_revision=8),
+        },
+    )
+    assert told.find_covering(3) == LogPosition(1, 7)
+    assert told.find_covering(4) == LogPosition(1, 9)
+    assert told.find_covering(9) is None
--- a/tests/unit/decisions/test_lost_logs.py
+++ b/tests/unit/decisions/test_lost_logs.py
@@ -1,9 +1,12 @@
 """Replicas that started again without the log that they held."""
 
+from geraniumridge._internal.decisions import acknowledged_commits
 from geraniumridge._internal.decisions import lost_logs
+from geraniumridge._internal.decisions import position_history
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import desired
+from geraniumridge._internal.models import fleet
 from geraniumridge._internal.models import records
 from geraniumridge._internal.ports import store
 from lib import fleets
@@ -42,9 +45,9 @@
 
 
 def test_restart_is_seen_by_the_time_of_start():
-    assert make_view(1).get_restart_time("i-1") is None
-    assert make_view(1, 1).get_restart_time("i-1") is None
-    assert make_view(1, 2).get_restart_time("i-1") == RESTARTED_AT
+    assert make_view(1).get_restart("i-1") is None
+    assert make_view(1, 1).get_restart("i-1") is None
+    assert make_view(1, 2).get_restart("i-1").seen_at == RESTARTED_AT
 
 
 def test_restart_is_seen_after_the_entry_had_expired():
@@ -52,7 +55,7 @@
     made.apply(4.0, store.Changes((store.Item("servers/i-1", None, 3),), 3))
     target = fleets.make_target("i-1", started_ms=2)
     made.apply(5.0, store.Changes((store.Item("servers/i-1", target, 4),), 4))
-    assert made.get_restart_time("i-1") == 5.0
+    assert made.get_restart("i-1").seen_at == 5.0
 
 
 def test_log_of_a_restarted_replica_may_be_lost_however_long_ago():
@@ -70,9 +73,9 @@
     made = make_view(1, 2)
     made.apply(20.0, store.Changes((store.Item("servers/i-1", None, 9),), 9))
     made.expire(20.0 + view.REMOVED_RETENTION_S - 1)
-    assert made.get_restart_time("i-1") == RESTARTED_AT
+    assert made.get_restart("i-1").seen_at == RESTARTED_AT
     made.expire(20.0 + view.REMOVED_RETENTION_S + 1)
-    assert made.get_restart_time("i-1") is None
+    assert made.get_restart("i-1") is None
 
 
 def test_empty_log_may_be_lost_before_the_restart_is_registered():
@@ -85,6 +88,40 @@
     assert not may_be_lost(made, 0, later, logs)
 
 
+def make_told(position, sent_revision):
+    """Return what VMs have told if one has sent a commit."""
+    bound = fleet.CommitBound("b", 1, position, 0, sent_revision)
+    return acknowledged_commits.ToldBounds(
+        (bound,), bound.log_position, (), False
+    )
+
+
+def test_commit_that_another_vm_sent_after_a_restart_covers_it():
+    made = make_view(1, 2)
+    logs = lost_logs.LostLogs()
+    positions = position_history.PositionHistory()
+    restart = made.get_restart("i-1")
+    earlier = make_told(7, restart.revision - 1)
+    assert logs.find_covering("i-1", made, positions, earlier) is None
+    told = make_told(7, restart.revision)
+    covering = logs.find_covering("i-1", made, positions, told)
+    assert covering == LogPosition(1, 7)
+    positions.add(RESTARTED_AT + 1, LogPosition(1, 5))
+    covering = logs.find_covering("i-1", made, positions, told)
+    assert covering == LogPosition(1, 5)
+
+
+def test_commit_after_a_restart_does_not_cover_a_later_loss():
+    made = make_view(1, 2)
+    revision = made.get_restart("i-1").revision
+    gone = store.Item("servers/i-1", None, revision + 1)
+    made.apply(20.0, store.Changes((gone,), revision + 1))
+    positions = position_history.PositionHistory()
+    told = make_told(7, revision)
+    logs = lost_logs.LostLogs()
+    assert logs.find_covering("i-1", made, positions, told) is None
+
+
 def choose(covering_position):
     """Choose a successor beside a replica that has lost its log."""
     lagging = succession.Replica(
--- a/tests/unit/decisions/test_promotion_proof.py
+++ b/tests/unit/decisions/test_promotion_proof.py
@@ -48,11 +48,12 @@
         self.is_deaf = False
         self.is_silent = False
         self.is_copying = False
+        self.has_left = False
 
     @property
     def status(self):
         """What it reports, None while it is silent."""
-        if self.is_silent:
+        if self.is_silent or self.has_left:
             return None
         position = records.LogPosition(1, self.received)
         return desired.TargetStatus(
@@ -127,14 +128,16 @@
         position = records.LogPosition(1, self.length)
         run.positions.add(self.now, position)
         if is_commit:
-            run.commits.note_commit(position, self.now, run.view.last_run_end)
+            run.commits.note_commit(
+                position, self.now, run.view.revision, run.view.last_run_end
+            )
 
     def send_log(self):
         """Send the log to the replicas; return whether one received it."""
         receivers = [
             item
             for item in self.replicas.values()
-            if not item.is_deaf and not item.is_copying
+            if not (item.is_deaf or item.is_copying or item.has_left)
         ]
         for item in receivers:
             item.received = self.length
@@ -155,6 +158,10 @@
         if is_seen:
             self.put_target(name)
 
+    def remove_target(self, name):
+        """Let a target's entry expire; it may still run."""
+        self.put(f"servers/{name}", None)
+
     def copy_log(self, name, is_whole):
         item = self.replicas[name]
         if item.is_copying and not item.is_deaf:
@@ -177,7 +184,10 @@
         logs = lost_logs.LostLogs()
         reported = self.find_reported()
         chosen = succession.choose_successor(
-            [self.make_replica(name, logs, reported) for name in REPLICAS],
+            [
+                self.make_replica(name, logs, reported, told)
+                for name in REPLICAS
+            ],
             acknowledged_commits.find_covering(None, told),
             max(reported, told.position),
         )
@@ -191,21 +201,18 @@
             default=records.LOG_START,
         )
 
-    def make_replica(self, name, logs, reported):
+    def make_replica(self, name, logs, reported, told):
         holder = self.runs[HOLDER]
         status = self.replicas[name].status
-        since = logs.get_loss_time(name, holder.view)
-        covering = None
-        if since is not None:
-            covering = holder.positions.find_covering(since)
         return succession.Replica(
             fleets.make_target(name),
             status,
             True,
-            covering,
+            logs.find_covering(name, holder.view, holder.positions, told),
             logs.may_be_lost(
                 name, status, reported, holder.view, self.now, True
             ),
+            name not in holder.view.targets,
         )
 
     def check(self):
@@ -248,6 +255,17 @@
     assert world.choose() is None
 
 
+def test_restart_is_covered_by_a_commit_of_another_vm():
+    """In a large fleet, few VMs send a group's primary anything."""
+    world = make_world()
+    world.restart_replica("a", is_seen=True)
+    world.copy_log("a", is_whole=True)
+    world.silent_vms.add("vm-2")
+    assert world.choose() is None
+    world.write("vm-1")
+    assert world.choose() == "a"
+
+
 def test_ended_run_has_to_be_covered():
     """Guards against commits that a VM passed on before it was killed."""
     world = make_world()
@@ -306,8 +324,15 @@
 
     @stateful.rule(name=replica_names)
     def restart(self, name):
+        self.replicas[name].has_left = False
         self.restart_replica(name, is_seen=True)
 
+    @stateful.rule(name=replica_names)
+    def leave(self, name):
+        if not self.replicas[name].has_left:
+            self.replicas[name].has_left = True
+            self.remove_target(name)
+
     @stateful.rule(vm=other_vm_names)
     def restart_vm(self, vm):
         self.start_vm(vm)
@@ -324,6 +349,15 @@
     def restart(self, name):
         self.restart_replica(name, is_seen=False)
 
+    @stateful.rule(name=replica_names)
+    def lose_store(self, name):
+        if name in self.runs[HOLDER].view.targets:
+            self.remove_target(name)
+
+    @stateful.rule(vm=vm_names)
+    def read(self, vm):
+        self.note_answer(vm, False)
+
 
 SETTINGS = hypothesis.settings(
     max_examples=150, stateful_step_count=25, deadline=None, derandomize=True
--- a/tests/unit/decisions/test_succession.py
+++ b/tests/unit/decisions/test_succession.py
@@ -211,6 +211,20 @@
     assert succession.choose_successor(replicas, LogPosition(1, 6)) is None
 
 
+@pytest.mark.parametrize(
+    ("covering_position", "chosen_id"), [(5, "a"), (6, None), (None, None)]
+)
+def test_departed_replica_counts_unless_its_commits_are_covered(
+    covering_position, chosen_id
+):
+    departed = make_replica("b", None, False, covering_position)
+    departed = departed._replace(has_left=True)
+    chosen = succession.choose_successor(
+        [make_replica("a", 5), departed], None
+    )
+    assert (chosen and chosen.target.id) == chosen_id
+
+
 @pytest.mark.parametrize("covering_position", [5, 6, None])
 def test_silent_replica_counts_although_earlier_commits_are_covered(
     covering_position,
--- a/tests/unit/proxy/test_acknowledgement_exchange.py
+++ b/tests/unit/proxy/test_acknowledgement_exchange.py
@@ -10,7 +10,7 @@
 from geraniumridge._internal.proxy import acknowledgement_exchange
 from lib import fleets
 
-BOUND = fleet.CommitBound("boot", 3, 1207, 41)
+BOUND = fleet.CommitBound("boot", 3, 1207, 41, 43)
 REVISION = 50
 
 
