Keep what VMs told that have left, and the newest answer of a departed replica

Both are ways by which a replica could be promoted that lacks acknowledged commits.

Bounds were taken from present members only. A VM that told its commits and left while the failover waited no longer spoke against a replica that lacks them. All that was told for a failover counts now.

Shown: test_bound_of_a_vm_that_has_left_since_still_speaks_against_a_replica and test_newest_answer_since_it_left_covers_a_departed_target failed before.

--- a/src/geraniumridge/_internal/decisions/acknowledged_commits.py
+++ b/src/geraniumridge/_internal/decisions/acknowledged_commits.py
@@ -76,9 +76,9 @@
 class ToldBounds(typing.NamedTuple):
     """What the VMs have told of the commits that they passed on.
 
-    `position` is the highest of the `bounds`. It covers all commits unless
-    VMs are `untold`, which have told none, or runs that ended are not
-    covered.
+    VMs that have left since are among them. `position` is the highest of the
+    `bounds`. It covers all commits unless VMs are `untold`, which have told
+    none, or runs that ended are not covered.
     """
 
     bounds: tuple[fleet.CommitBound, ...]
@@ -122,18 +122,16 @@
     revision : int
         Revision of the failover's leadership record.
     """
-    bounds_by_vm = {
-        vm: [
-            *received.list_bounds(vm, group, revision),
-            *_list_stored_bounds(view, vm, group, revision),
-        ]
-        for vm in view.members
-    }
-    told = tuple(bound for bounds in bounds_by_vm.values() for bound in bounds)
+    told_by = [
+        *received.list_bounds(group, revision),
+        *_list_stored_bounds(view, group, revision),
+    ]
+    told = tuple(bound for _, bound in told_by)
+    told_runs = {(vm, bound.boot) for vm, bound in told_by}
     untold = (
         vm
         for vm, member in view.members.items()
-        if all(bound.boot != member.boot for bound in bounds_by_vm[vm])
+        if (vm, member.boot) not in told_runs
     )
     run_end = view.last_run_end
     return ToldBounds(
@@ -145,11 +143,11 @@
     )
 
 
-def _list_stored_bounds(view, vm, group, revision):
-    stored = view.list_acknowledgements(group).get(vm)
-    if stored is None or stored.revision != revision or stored.bound is None:
-        return []
-    return [stored.bound]
+def _list_stored_bounds(view, group, revision):
+    """Yield the VMs that told a bound through the store, with the bound."""
+    for vm, stored in view.list_acknowledgements(group).items():
+        if stored.revision == revision and stored.bound is not None:
+            yield vm, stored.bound
 
 
 def find_covering(old_position, told):
--- a/src/geraniumridge/_internal/decisions/lost_logs.py
+++ b/src/geraniumridge/_internal/decisions/lost_logs.py
@@ -47,7 +47,8 @@
 
         Every commit acknowledged before that is covered by an answer of the
         primary to a statement sent after it, of this VM or of one that has
-        told its commits.
+        told its commits. A target that has left may only have lost the store,
+        so the newest answer counts, which covers the most.
 
         Parameters
         ----------
@@ -63,11 +64,14 @@
         Returns
         -------
         records.LogPosition or None
-            The least that is known; None if none is, or without a loss.
+            The least that is known, or the newest of a target that has left;
+            None if none is known, or without a loss.
         """
         since = self.get_loss_time(target_id, view)
         if since is None:
             return None
+        if target_id not in view.targets:
+            return positions.find_newest_since(since)
         found = [positions.find_covering(since)]
         restart = view.get_restart(target_id)
         # A later loss, of which the store has no revision yet, isn't covered.
--- a/src/geraniumridge/_internal/decisions/position_history.py
+++ b/src/geraniumridge/_internal/decisions/position_history.py
@@ -89,6 +89,25 @@
             return None
         return self._positions[index].log_position
 
+    def find_newest_since(self, since):
+        """Return the newest position.
+
+        Parameters
+        ----------
+        since : float
+            Clock time, in seconds, at which it must have been requested at
+            the earliest.
+
+        Returns
+        -------
+        records.LogPosition or None
+            None if it was requested earlier, or if there is none.
+        """
+        newest = self.newest
+        if newest is None or newest.sent_at < since:
+            return None
+        return newest.log_position
+
     def _is_redundant(self, sent_at):
         """Return whether a new position may replace the newest one."""
         if len(self._positions) < 2:
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -68,9 +68,14 @@
         """Return whether a VM has acknowledged a failover."""
         return vm in self._get_vms(group, revision)
 
-    def list_bounds(self, vm, group, revision):
-        """Return the `fleet.CommitBound` of a VM's runs for a failover."""
-        return list(self._get_vms(group, revision).get(vm, {}).values())
+    def list_bounds(self, group, revision):
+        """Yield the VMs that told a `fleet.CommitBound`, with the bound.
+
+        A VM is listed for each of its runs that acknowledged the failover.
+        """
+        for vm, bounds in self._get_vms(group, revision).items():
+            for bound in bounds.values():
+                yield vm, bound
 
     def _get_vms(self, group, revision):
         known_revision, vms = self._newest.get(group, (0, {}))
--- a/tests/unit/decisions/test_acknowledged_commits.py
+++ b/tests/unit/decisions/test_acknowledged_commits.py
@@ -162,3 +162,10 @@
     assert told.find_covering(3) == LogPosition(1, 7)
     assert told.find_covering(4) == LogPosition(1, 9)
     assert told.find_covering(9) is None
+
+
+def test_bound_of_a_vm_that_has_left_since_still_speaks_against_a_replica():
+    made = make_view(**{"vm-1": "b", "vm-2": "b"})
+    bounds = {"vm-1": make_bound(7, 8), "vm-2": make_bound(9)}
+    change_member(made, "vm-2", None, 20.0, 8)
+    assert combine(made, **bounds).position == LogPosition(1, 9)
--- a/tests/unit/decisions/test_lost_logs.py
+++ b/tests/unit/decisions/test_lost_logs.py
@@ -122,6 +122,21 @@
     assert logs.find_covering("i-1", made, positions, told) is None
 
 
+def test_newest_answer_since_it_left_covers_a_departed_target():
+    """It may only have lost the store, and confirm later commits."""
+    made = make_view(1)
+    made.apply(20.0, store.Changes((store.Item("servers/i-1", None, 9),), 9))
+    positions = position_history.PositionHistory()
+    logs = lost_logs.LostLogs()
+    told = make_told(7, 9)
+    positions.add(19.0, LogPosition(1, 5))
+    assert logs.find_covering("i-1", made, positions, told) is None
+    positions.add(21.0, LogPosition(1, 8))
+    positions.add(22.0, LogPosition(1, 12))
+    covering = logs.find_covering("i-1", made, positions, told)
+    assert covering == LogPosition(1, 12)
+
+
 def choose(covering_position):
     """Choose a successor beside a replica that has lost its log."""
     lagging = succession.Replica(
--- a/tests/unit/decisions/test_position_history.py
+++ b/tests/unit/decisions/test_position_history.py
@@ -38,6 +38,18 @@
     assert history.find_covering(1.5) == LogPosition(1, 10)
 
 
+def test_newest_position_is_returned_if_it_is_new_enough():
+    history = position_history.PositionHistory()
+    assert history.find_newest_since(0.0) is None
+    history.add(1.0, LogPosition(1, 10))
+    history.add(2.0, LogPosition(1, 20))
+    assert history.find_newest_since(0.5) == LogPosition(1, 20)
+    assert history.find_newest_since(2.0) == LogPosition(1, 20)
+    assert history.find_newest_since(2.5) is None
+    history.add(3.0, LogPosition(2, 25))
+    assert history.find_newest_since(1.5) == LogPosition(2, 25)
+
+
 @given(
     st.lists(
         st.tuples(st.floats(0, 5, allow_nan=False), st.integers(0, 3)),
--- a/tests/unit/proxy/test_acknowledgement_exchange.py
+++ b/tests/unit/proxy/test_acknowledgement_exchange.py
@@ -63,10 +63,11 @@
 def test_bound_reaches_the_vm_that_runs_the_failover():
     for holder in ("vm-1", "vm-2"):
         record = deliver(BOUND, holder)
-        assert record.list_bounds("vm-1", "ledger", REVISION) == [BOUND]
+        told = list(record.list_bounds("ledger", REVISION))
+        assert told == [("vm-1", BOUND)]
 
 
 def test_vm_that_knows_no_bound_acknowledges_without_one():
     record = deliver(None, "vm-2")
     assert record.has("vm-1", "ledger", REVISION)
-    assert record.list_bounds("vm-1", "ledger", REVISION) == []
+    assert not list(record.list_bounds("ledger", REVISION))
