Let a test wait for the old primary to step down

The check was wrong: the old primary is told to step down by a task of its own once the new one is recorded, and nothing promises that this comes before the next write's answer.

Now it has the time that the test gives the write, 1 s. Besides, the new primary has to hold the write that was acknowledged.

--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -241,7 +241,13 @@
     )
     await write_until_acknowledged(caller, "after", timeout_s=1.0)
     assert (await caller.query("READ a"))[0] == "ROW 1"
-    assert cluster.group.instances["i-0"].role == "replica"
+    old, new = (
+        cluster.group.instances[name]
+        for name in ("i-0", cluster.store.get(LEAD_KEY)["target"])
+    )
+    assert new.data["after"] == "data"
+    # The write may be acknowledged before the old primary has stepped down.
+    await proxies.wait_until(lambda: old.role == "replica", timeout_s=1.0)
 
 
 @run_in_cluster
