--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -527,8 +527,8 @@
         fence = int(headers["x-geraniumridge-fencing-token"])
         self.calls.append((now(), holder, fence, data["service"], data["id"]))
         self.record.say("promote call", holder, "fence", fence, data["service"], data["id"])
-        await self.groups[data["service"]].promote(data["id"])
-        return 200
+        refused = await self.groups[data["service"]].promote(data["id"])
+        return refused or 200
 
 
 SETTINGS = """
