--- a/review/12/case.py
+++ b/review/12/case.py
@@ -20,7 +20,7 @@
 MACHINES = [
     (f"front-{zone}-{number}", zone) for zone in ZONES for number in (1, 2)
 ]
-SILENT_S = 8.0
+SILENT_S = 7.0
 RELEASE_GAP_S = 1.0
 DRAIN_S = 7.0
 LEAVES_AFTER_S = 12.0
