--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -88,10 +88,10 @@
     return method, path, headers, body
 
 
-def format_response(status, data):
+def format_response(status, data, headers=""):
     body = json.dumps(data).encode()
     return (
-        f"HTTP/1.1 {status} OK\r\nContent-Type: application/json\r\n"
+        f"HTTP/1.1 {status} OK\r\nContent-Type: application/json\r\n{headers}"
         f"Content-Length: {len(body)}\r\n\r\n"
     ).encode() + body
 
@@ -109,6 +109,9 @@
         self.history = []
         self.leases = {}
         self.silent = set()
+        self.era = 1
+        self.is_away = False
+        self._oldest = self.revision
         self._next_lease = 7000
         self._changed = asyncio.Event()
 
@@ -122,11 +125,17 @@
                     if machine in self.silent:
                         await reader.read()
                         break
+                    if self.is_away:
+                        break
+                    era = self.era
                     status, data = await self._answer(machine, request)
                     if machine in self.silent:
                         await reader.read()
                         break
-                    writer.write(format_response(status, data))
+                    if self.is_away or era != self.era:
+                        break
+                    header = f"Store-Era: {self.era}\r\n"
+                    writer.write(format_response(status, data, header))
                     await writer.drain()
             writer.close()
 
@@ -145,6 +154,42 @@
             if item["lease"] == lease:
                 self.delete(key)
 
+    def copy(self):
+        """Return a copy of what the store holds now."""
+        self.record.say("copy of the store at revision", self.revision)
+        return dict(self.items), dict(self.leases), self.revision
+
+    async def restore(self, copy, away_s):
+        """Be away for a moment, then come back from a copy.
+
+        What the operator and the instances have written since is written
+        again at once.
+        """
+        self.record.say("store away at revision", self.revision)
+        self.is_away = True
+        self._note({"key": "-", "rev": -1})
+        await asyncio.sleep(away_s)
+        written = {
+            key: item["value"]
+            for key, item in self.items.items()
+            if key.startswith(("op/", "servers/"))
+        }
+        items, leases, revision = copy
+        self.items = dict(items)
+        self.leases = {
+            lease: (ttl_s, now() + ttl_s) for lease, (ttl_s, _) in leases.items()
+        }
+        self.revision = self._oldest = revision
+        self.history = []
+        self.era += 1
+        self.is_away = False
+        for key in list(self.items):
+            if key.startswith(("op/", "servers/")) and key not in written:
+                self.delete(key)
+        for key, value in written.items():
+            self.put(key, base64.b64decode(value))
+        self.record.say("store back from the copy, revision", self.revision)
+
     def put(self, key, data, lease=0):
         """Write a key; return its revision."""
         value = data if isinstance(data, bytes) else json.dumps(data).encode()
@@ -240,8 +285,13 @@
 
     async def _watch(self, fields):
         after, prefix = int(fields["after"]), fields.get("prefix", "")
+        if not self._oldest <= after <= self.revision:
+            return 410, {}
         ends_at = now() + int(fields["waitMs"]) / 1000
+        era = self.era
         while not self._list_events(prefix, after) and now() < ends_at:
+            if self.is_away or era != self.era:
+                return 410, {}
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(
                     self._changed.wait(), max(0.001, ends_at - now())
@@ -263,6 +313,7 @@
         self.role = "replica"
         self.term = 1
         self.paused = 0
+        self.received = [(0.0, 0)]
         self.log = []
         self.state = "ready"
         self.born = int(time.time() * 1000)
@@ -270,6 +321,31 @@
         self.connections = 0
         self.busy = 0
 
+    @property
+    def log(self):
+        return self._log
+
+    @log.setter
+    def log(self, log):
+        """Set the log; a replica applies it `lag_s` later."""
+        self._log = log
+        if len(log) != self.received[-1][1]:
+            self.received = [*self.received[-500:], (now(), len(log))]
+
+    @property
+    def applied(self):
+        """The applied part of the log."""
+        if self.role == "primary" or not self.group.lag_s:
+            return self.log
+        until = now() - self.group.lag_s
+        count = next((n for at, n in reversed(self.received) if at <= until), 0)
+        return self.log[:count]
+
+    @property
+    def applied_position(self):
+        applied = self.applied
+        return f"{applied[-1][0]}.{applied[-1][1]}" if applied else "1.0"
+
     @property
     def position(self):
         return f"{self.log[-1][0]}.{self.log[-1][1]}" if self.log else f"{self.term}.0"
@@ -288,6 +364,11 @@
             "born": self.born,
         }
 
+    def step_down(self):
+        """Become a replica, which has applied what it has."""
+        self.role = "replica"
+        self.received = [(0.0, len(self.log))]
+
     async def start(self):
         await asyncio.start_server(self._serve, "127.0.0.1", self.port)
 
@@ -329,7 +410,7 @@
                 return
             _, statement_id, text = line.split(" ", 2)
             answer = await self._run(statement_id, text)
-            await self._send(*answer, f"READY {self.state} {instance.position}")
+            await self._send(*answer, f"READY {self.state} {instance.applied_position}")
 
     async def _read(self):
         line = await self.reader.readline()
@@ -373,6 +454,8 @@
             await asyncio.sleep(instance.group.work_s)
         instance.busy -= 1
         if command == "READ":
+            group = instance.group
+            group.reads.append((statement_id, instance.name, len(instance.applied)))
             return [f"ROW v-{rest}", f"COMPLETE d.{statement_id}.{instance.name}"]
         if instance.role != "primary":
             return self._fail("READONLY")
@@ -398,7 +481,9 @@
             instance.paused = 0
             instance.group.catch_up(instance)
         elif command == "STEPDOWN" and int(rest) > instance.term:
-            instance.role = "replica"
+            if instance.role == "primary":
+                instance.step_down()
+                instance.group.catch_up(instance)
         return [
             f"ROW {instance.role} {instance.term} {instance.position}"
             f" {instance.paused} 0 {instance.busy} {instance.connections}",
@@ -409,7 +494,7 @@
 def _has(self, position):
     term, _, number = position.partition(".")
     pair = (int(term), int(number))
-    return pair[1] == 0 or any((t, n) == pair for t, n, _ in self.log)
+    return pair[1] == 0 or any((t, n) == pair for t, n, _ in self.applied)
 
 
 Instance.has = _has
@@ -425,7 +510,9 @@
         self.max_conns = max_conns
         self.work_s = work_s
         self.promote_s = 0.3
+        self.lag_s = 0.0
         self.arrivals = []
+        self.reads = []
         self.commits = []
         self.instances = {}
         for number, zone in enumerate(zones):
@@ -487,7 +574,7 @@
 
     def _step_down(self, old, chosen):
         if old.role == "primary" and old.term < chosen.term:
-            old.role = "replica"
+            old.step_down()
             self.catch_up(old)
 
     async def keep_registered(self, store, heartbeat_s=HEARTBEAT_S):
