Order revisions by the store's era

Cause: a revision was taken for one that never goes back. The view ignored the listing of a restored store, and later each change whose number wasn't above the one known of its key. Ruled out: a hanging watch, as statements of other keys were served all the while; the age of the view, which refuses by itself.

An answer of another era than the question is none. The view keeps what a backup doesn't have: the newest configuration, evacuations and targets for the 2 s in which they are written again, orders, and that a target drains.

--- a/src/geraniumridge/_internal/decisions/primary_resolver.py
+++ b/src/geraniumridge/_internal/decisions/primary_resolver.py
@@ -57,11 +57,24 @@
         """
         if not self.is_self_registered():
             return False
+        if self._view.is_lead_copied(group):
+            return self._may_use_former(group, now)
         age_s = self._view_age.get_age(now)
         if age_s > MAX_VIEW_AGE_S:
             return False
         return age_s <= MAX_UNCONFIRMED_AGE_S or self._is_confirmed(group, now)
 
+    def _may_use_former(self, group, now):
+        """Return whether a primary of the store's former era may be used.
+
+        Its leadership record is as old as the newest answer of that era,
+        however recent the view is.
+        """
+        former = self._view.get_former_lead(group)
+        if former is None:
+            return False
+        return now - former.confirmed_at <= MAX_UNCONFIRMED_AGE_S
+
     def _is_confirmed(self, group, now):
         """Return whether a quorum confirms the group's leadership record."""
         voters = self._view.roster.voters
@@ -70,6 +83,9 @@
     def find_primary(self, group):
         """Return the `desired.Target` that is a group's primary, or None."""
         lead = self._view.get_lead(group)
+        former = self._view.get_former_lead(group)
+        if former is not None:
+            return self._find_target(former.lead.target)
         if lead is not None:
             if lead.is_pending:
                 return None
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -1,12 +1,20 @@
-"""View of the platform's store at a revision that never decreases."""
+"""View of the platform's store at a revision that never decreases.
+
+A store that was restored from a backup begins a new era; revisions are ordered
+by their era first (`models.revisions`). ``docs/design/store-eras.md`` says
+what of a former era is kept.
+"""
 
 import math
 import typing
 
 from geraniumridge._internal.decisions import change_log
+from geraniumridge._internal.decisions import primary_resolver
+from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import roster
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
+from geraniumridge._internal.models import revisions
 
 REREGISTRATION_GRACE_S = 2.0
 """How long after an outage of the store targets whose entries expired may
@@ -72,6 +80,16 @@
     seen_at: float
 
 
+class FormerLead(typing.NamedTuple):
+    """A leadership record of a former era of the store.
+
+    It held at least until the clock time `confirmed_at`, in seconds.
+    """
+
+    lead: fleet.Lead
+    confirmed_at: float
+
+
 class Entry(typing.NamedTuple):
     """A key's revision and decoded value, None if it cannot be decoded."""
 
@@ -101,10 +119,17 @@
         self._roster = roster.Roster()
         self._change_log = change_log.ChangeLog()
         self._lead_revisions = {}
+        self._copied_leads = set()
+        self._former_leads = {}
+        self._former_version = None
+        self._groups_without_unseen_order = set()
+        self._lost_orders = set()
+        self._era_began_at = None
         self._acknowledgements = {}
         self._orders = {}
         self._usage_records = {}
         self._expiry_deadlines = {}
+        self._lost_evacuations = {}
         self._removed_targets = {}
         self._restarts = {}
         self._complete_since = None
@@ -116,6 +141,16 @@
         """Revision of the store that the view has reached."""
         return self._revision
 
+    @property
+    def era(self):
+        """Era of the store at `revision`, 0 if the store tells none."""
+        return revisions.get_era(self._revision)
+
+    @property
+    def era_began_at(self):
+        """Clock time at which this view first saw the era, or None."""
+        return self._era_began_at
+
     @property
     def change_log(self):
         """The `change_log.ChangeLog` that leads up to `revision`."""
@@ -169,9 +204,50 @@
         return self._last_run_end
 
     def get_lead(self, group):
-        """Return a group's `fleet.Lead`, or None."""
+        """Return a group's `fleet.Lead`, or None.
+
+        One of a former era is pending, with the newest known primary of that
+        time; see `is_lead_copied`.
+        """
         entry = self._entries.get(fleet.make_lead_key(group))
-        return entry.record if entry else None
+        if entry is not None:
+            return entry.record
+        # The record may have been written after the backup was made.
+        return fleet.UNREADABLE_LEAD if self.era else None
+
+    def is_lead_copied(self, group):
+        """Return whether the present era has no leadership record of a group.
+
+        The store then has none, or one that it was restored with, which may
+        name a former primary.
+        """
+        has_entry = fleet.make_lead_key(group) in self._entries
+        return self.era > 0 and (not has_entry or group in self._copied_leads)
+
+    def get_former_lead(self, group):
+        """Return the `FormerLead` that this view has seen itself, or None.
+
+        Only of a group whose primary was settled when the era ended, and
+        until the present era has a leadership record of the group.
+        """
+        return self._former_leads.get(group)
+
+    def may_have_unseen_order(self, group, now):
+        """Return whether an order that this view lacks may be carried out.
+
+        The store may have lost its record in a restore. Not if this view
+        showed shortly before that no failover was in progress, as none has
+        sent an order since; nor once the present era has a primary of the
+        group.
+        """
+        if not self.era or group in self._groups_without_unseen_order:
+            return False
+        age_s = now - self._era_began_at
+        return age_s <= promotion_orders.ORDER_LIFETIME_S
+
+    def list_groups_with_former_lead(self):
+        """Return the groups that have a `FormerLead`."""
+        return list(self._former_leads)
 
     def get_revision(self, key):
         """Return a key's revision, 0 if it does not exist."""
@@ -284,8 +360,12 @@
         """
         if listing.revision < self._revision:
             return False
+        is_new_era = self._begins_era(listing.revision)
+        if is_new_era:
+            self._begin_era(now, confirmed_at)
         if (
-            self._complete_since is None
+            is_new_era
+            or self._complete_since is None
             or now - confirmed_at > MAX_UNNOTICED_GAP_S
         ):
             self._complete_since = now
@@ -293,6 +373,8 @@
         present = {item.key for item in listing.items}
         for key in list(self._entries.keys() - present):
             self._note_run_end(now, key, None, listing.revision)
+            if is_new_era and self._keep_lost(now, key):
+                continue
             self._delete_entry(now, key)
         for item in listing.items:
             self._apply_item(now, item)
@@ -302,6 +384,64 @@
         self._change_log.restart(listing.revision)
         return True
 
+    def _begins_era(self, revision):
+        """Return whether a listing is the first of a later era."""
+        era = revisions.get_era(revision)
+        return era > 0 and (self._era_began_at is None or era > self.era)
+
+    def _begin_era(self, now, confirmed_at):
+        """Set aside what held in the former era, which has ended.
+
+        Its changes after `confirmed_at` are not known.
+        """
+        self._groups_without_unseen_order.clear()
+        for key, entry in self._entries.items():
+            if isinstance(entry.record, fleet.Lead):
+                group = fleet.parse_lead_group(key)
+                self._note_former_lead(now, group, entry.record, confirmed_at)
+        if self._state is not None:
+            self._former_version = self._state.version
+        self._era_began_at = now
+        # What operators and targets wrote since the backup returns.
+        self.note_outage_end(now)
+
+    def _note_former_lead(self, now, group, lead, confirmed_at):
+        if group in self._copied_leads:
+            # That of a still earlier era, if any, is the newest known.
+            return
+        self._former_leads.pop(group, None)
+        if lead.is_pending:
+            return
+        self._former_leads[group] = FormerLead(lead, confirmed_at)
+        # A failover that began later would have had to wait for this VM.
+        if now - confirmed_at <= primary_resolver.MAX_UNCONFIRMED_AGE_S:
+            self._groups_without_unseen_order.add(group)
+
+    def _keep_lost(self, now, key):
+        """Keep what a restored store has lost, where that still counts.
+
+        Returns
+        -------
+        bool
+            Whether the entry stays. Its key does not exist in the store.
+        """
+        record = self._entries[key].record
+        if isinstance(record, fleet.Lead):
+            group = fleet.parse_lead_group(key)
+            self._entries[key] = Entry(0, _suspend_lead(record))
+            self._copied_leads.add(group)
+            return True
+        if isinstance(record, Evacuation):
+            self._entries[key] = Entry(0, record)
+            deadline = now + REREGISTRATION_GRACE_S
+            self._lost_evacuations[key] = deadline
+            return True
+        if isinstance(record, fleet.PromotionOrder):
+            self._entries[key] = Entry(0, record)
+            self._lost_orders.add(key)
+            return True
+        return False
+
     def apply(self, now, changes):
         """Apply the changes that follow the view's revision.
 
@@ -341,6 +481,22 @@
             if now >= deadline:
                 del self._expiry_deadlines[expired_id]
                 self._drop_target(now, expired_id)
+        self._expire_lost_orders(now)
+        for key, deadline in list(self._lost_evacuations.items()):
+            if now >= deadline:
+                del self._lost_evacuations[key]
+                self._delete_entry(now, key)
+
+    def _expire_lost_orders(self, now):
+        """Forget lost orders that can have no effect any more."""
+        for key in list(self._lost_orders):
+            group = fleet.parse_order_group(key)
+            outstanding = promotion_orders.find_outstanding(
+                self._orders.get(group), now
+            )
+            if outstanding is None and not self.get_lead(group).is_pending:
+                self._lost_orders.discard(key)
+                self._delete_entry(now, key)
 
     def _apply_item(self, now, item):
         known = self._entries.get(item.key)
@@ -352,13 +508,75 @@
             return
         record = self._decode(item.key, item.value)
         self._note_run_end(now, item.key, record, item.revision)
-        if record is fleet.UNREADABLE_LEAD and known is not None:
-            record = _suspend_lead(known.record)
+        record = self._keep_newer(item, record, known)
         if known is not None and type(record) is not type(known.record):
             self._discard_record(now, item.key, known.record)
         self._entries[item.key] = Entry(item.revision, record)
         self._add_record(now, item, record)
 
+    def _keep_newer(self, item, record, known):
+        """Return the record to use, which may be an earlier one of the key.
+
+        A restored store has copies of records that this view knows to be
+        outdated.
+        """
+        known_record = known.record if known is not None else None
+        self._lost_evacuations.pop(item.key, None)
+        self._lost_orders.discard(item.key)
+        if isinstance(record, fleet.Lead):
+            return self._keep_newer_lead(item, record, known_record)
+        if isinstance(record, desired.DesiredState):
+            return self._keep_newer_state(record)
+        if isinstance(record, fleet.PromotionOrder):
+            return self._keep_newer_order(item, record, known_record)
+        is_restored = known is not None and revisions.get_era(
+            item.revision
+        ) > revisions.get_era(known.revision)
+        if not is_restored:
+            return record
+        if isinstance(record, desired.Target):
+            return _keep_newer_target(record, known_record)
+        return record
+
+    def _keep_newer_order(self, item, order, known_record):
+        """Return the newest order, None if the record is an outdated copy."""
+        fence_era = revisions.get_era(order.fence)
+        is_copy = fence_era < revisions.get_era(item.revision)
+        if not is_copy or order is fleet.UNREADABLE_ORDER:
+            return order
+        if isinstance(known_record, fleet.PromotionOrder):
+            return max(order, known_record, key=lambda known: known.fence)
+        group = fleet.parse_order_group(item.key)
+        # The former era had removed it before it ended.
+        return None if group in self._former_leads else order
+
+    def _keep_newer_state(self, state):
+        """Return the present state in place of one of before a restore.
+
+        Operators may write several versions again, one after the other.
+        """
+        if self._former_version is None:
+            return state
+        if state.version >= self._former_version:
+            self._former_version = None
+            return state
+        return self._state
+
+    def _keep_newer_lead(self, item, lead, known_record):
+        group = fleet.parse_lead_group(item.key)
+        if lead.era < revisions.get_era(item.revision):
+            self._copied_leads.add(group)
+            if isinstance(known_record, fleet.Lead):
+                return _suspend_lead(known_record)
+            return _suspend_lead(lead)
+        if lead is fleet.UNREADABLE_LEAD and known_record is not None:
+            return _suspend_lead(known_record)
+        self._copied_leads.discard(group)
+        self._former_leads.pop(group, None)
+        if not lead.is_pending:
+            self._groups_without_unseen_order.add(group)
+        return lead
+
     def _note_run_end(self, now, key, record, revision):
         """Record that a VM's run has ended, if a new record shows that."""
         known = self._entries.get(key)
@@ -479,6 +697,22 @@
     return former._replace(holder="", is_pending=True)
 
 
+def _keep_newer_target(restored, known):
+    """Return what holds of a target that a restored store has an entry of.
+
+    The entry may be of an earlier run, or of before the target began to
+    drain.
+    """
+    if not isinstance(known, desired.Target):
+        return restored
+    if restored.started_ms < known.started_ms:
+        return known
+    is_same_run = restored.started_ms == known.started_ms
+    if is_same_run and known.is_draining:
+        return restored._replace(is_draining=True)
+    return restored
+
+
 def _make_departed_target(group, recorded):
     """Return a target of which only identity and address are known."""
     return desired.Target(
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -42,13 +42,16 @@
     `target`, the old primary, and `holder` is ``VM/boot`` of the daemon
     that runs the failover. Afterwards `target` is the primary and
     `holder` the name of the VM that completed the failover. `term` is
-    the newest term known, 0 if unknown.
+    the newest term known, 0 if unknown. `era` is the era of the store for
+    which the record was written: in a later one it is only a copy, and may
+    name a former primary.
     """
 
     target: str
     term: Count
     holder: str
     is_pending: bool
+    era: Count = 0
 
 
 UNREADABLE_LEAD = Lead("", 0, "", True)
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -339,7 +339,9 @@
             known.term if known else 0,
             self._node.get_log_positions(group).term,
         )
-        lead = fleet.Lead(old, term, self._node.run_id, True)
+        lead = fleet.Lead(
+            old, term, self._node.run_id, True, self._node.view.era
+        )
         write = store_port.Write(key, fleet.encode_record(lead))
         try:
             revision = await self._store.commit(
--- a/src/geraniumridge/_internal/proxy/follower.py
+++ b/src/geraniumridge/_internal/proxy/follower.py
@@ -12,6 +12,7 @@
 
 from geraniumridge._internal.decisions import reader_selection
 from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import revisions
 from geraniumridge._internal.utils import backoff
 from geraniumridge._internal.utils import clock
 
@@ -157,6 +158,11 @@
                 reader.vm, clock.now(), reader_selection.AVOID_OUTDATED_S
             )
             return self._get_search_delay_s()
+        if self._is_of_former_era(status):
+            self._readers.avoid(
+                reader.vm, clock.now(), reader_selection.AVOID_OUTDATED_S
+            )
+            return self._get_search_delay_s()
         self._readers.note_useful(reader.vm)
         if status.changes is None:
             return await self._read_changes()
@@ -168,6 +174,13 @@
         self._confirm_view(sent_at - status.age_s)
         return max(0.0, sent_at + QUERY_INTERVAL_S - clock.now())
 
+    def _is_of_former_era(self, status):
+        """Return whether a neighbour has not seen the store's era yet."""
+        if status.changes is None:
+            return False
+        era = revisions.get_era(status.changes.revision)
+        return era < self._node.view.era
+
     def _get_search_delay_s(self):
         """Return the delay to the next attempt after one that failed."""
         return SEARCH_DELAY_S if self._readers.has_many_failures else 0.0
@@ -176,14 +189,33 @@
         """List the whole store."""
         listing = await self._store.list("")
         self._note_store_answer()
+        former_era = self._node.view.era
         confirmed_at = self._node.view_age.confirmed_at
         if not self._node.view.replace(clock.now(), listing, confirmed_at):
             return MIN_RETRY_DELAY_S
         self._has_listed.set()
+        if self._node.view.era != former_era:
+            self._log_era(former_era)
         # The pages of a listing are read at different times; applying the
         # changes since the first page makes the view consistent.
         return await self._read_changes()
 
+    def _log_era(self, former_era):
+        """Log what the view keeps of the store's former era."""
+        view = self._node.view
+        groups = view.state.groups if view.state else ()
+        logger.warning(
+            "view of a new era of the store",
+            extra={
+                "event": "view_era",
+                "era": view.era,
+                "former": former_era,
+                "version": view.state.version if view.state else None,
+                "copied_leads": sum(map(view.is_lead_copied, groups)),
+                "evacuated": sorted(view.evacuated),
+            },
+        )
+
     async def _read_changes(self):
         """Read the changes since the view, without waiting for one."""
         sent_at = clock.now()
--- a/src/geraniumridge/_internal/proxy/metrics_server.py
+++ b/src/geraniumridge/_internal/proxy/metrics_server.py
@@ -1,5 +1,6 @@
 """HTTP server of one VM's metrics."""
 
+from geraniumridge._internal.models import revisions
 from geraniumridge._internal.network import http
 from geraniumridge._internal.utils import clock
 
@@ -73,7 +74,8 @@
             "knowledge_age_seconds": min(
                 MAX_REPORTED_AGE_S, node.view_age.get_age(clock.now())
             ),
-            "store_revision": node.view.revision,
+            "store_revision": revisions.get_number(node.view.revision),
+            "store_era": node.view.era,
             "members": len(node.view.members),
             "targets": len(node.view.targets),
             "target_connections": node.pools.size,
--- a/src/geraniumridge/_internal/proxy/primary_revocation.py
+++ b/src/geraniumridge/_internal/proxy/primary_revocation.py
@@ -65,13 +65,17 @@
         A primary needs it once the store view is older than
         `primary_resolver.MAX_UNCONFIRMED_AGE_S`. From that age on, this VM
         also stops using all primaries if it is not registered or its view is
-        older than `primary_resolver.MAX_VIEW_AGE_S`.
+        older than `primary_resolver.MAX_VIEW_AGE_S`. A primary of a former
+        era of the store needs it, too.
         """
         age_s = self._node.view_age.get_age(clock.now())
-        state = self._node.view.state
-        if state is None or age_s <= primary_resolver.MAX_UNCONFIRMED_AGE_S:
+        view = self._node.view
+        if view.state is None:
             return
-        for group in state.groups:
+        groups = list(view.state.groups)
+        if age_s <= primary_resolver.MAX_UNCONFIRMED_AGE_S:
+            groups = view.list_groups_with_former_lead()
+        for group in groups:
             self._stop_if_unconfirmed(
                 group, self._node.get_primary_usage(group)
             )
@@ -89,6 +93,9 @@
         lead = self._node.view.get_lead(group)
         if lead is None or not lead.is_pending:
             return
+        if self._node.view.is_lead_copied(group):
+            # No failover asks for it.
+            return
         key = fleet.make_lead_key(group)
         revision = self._node.view.get_revision(key)
         if self._acknowledged.get(group) == revision:
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -10,6 +10,7 @@
 from geraniumridge._internal import exceptions
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
+from geraniumridge._internal.models import revisions
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import control
 from geraniumridge._internal.proxy import group_connections
@@ -306,7 +307,13 @@
         return any(status is None for status in answers.values())
 
     async def _record_completion(self, target_id, term):
-        lead = fleet.Lead(target_id, term, self._node.settings.vm.name, False)
+        lead = fleet.Lead(
+            target_id,
+            term,
+            self._node.settings.vm.name,
+            False,
+            revisions.get_era(self._revision),
+        )
         write = store_port.Write(self._key, fleet.encode_record(lead))
         settled_orders = self._sender.list_settled(target_id)
         try:
--- a/standins/kvstore.py
+++ b/standins/kvstore.py
@@ -6,10 +6,13 @@
 `fault` (``"busy"`` answers 503, ``"many"`` 429, ``"reset"`` closes the
 connection, ``"silent"`` never answers, None serves), `delay_s` and
 `lose_answers` (how many of the next writes take effect without an
-answer); `compact` drops the history.
+answer); `compact` drops the history. `make_backup` and `restore` bring the
+store back to an earlier moment, as a new era; `era` is told in each answer
+unless it is None.
 """
 
 import base64
+import typing
 import urllib.parse
 
 import msgspec
@@ -27,6 +30,14 @@
 """HTTP status of each value of `KvStore.fault` that gets an answer."""
 
 
+class Backup(typing.NamedTuple):
+    """What a store held at one moment."""
+
+    items: dict
+    leases: dict
+    revision: int
+
+
 class KvStore:
     """Keys with revisions, leases, a history, and the faults to inject."""
 
@@ -37,6 +48,7 @@
         self.fault = None
         self.delay_s = 0.0
         self.lose_answers = 0
+        self.era = None
         self.requested_paths = []
         self._history = []
         self._compacted_revision = self.revision
@@ -108,6 +120,59 @@
         self._compacted_revision = self.revision
         self._wake_watches()
 
+    def make_backup(self):
+        """Return a `Backup` of the present contents."""
+        return Backup(dict(self.items), dict(self.leases), self.revision)
+
+    async def restore(self, backup, away_s=0.0, rewrites=None):
+        """Be away for some time, then hold what a backup has.
+
+        A new era begins. Leases run on from the restore.
+
+        Parameters
+        ----------
+        backup : Backup
+            The former contents.
+        away_s : float
+            Time in seconds during which calls get no answer.
+        rewrites : dict, optional
+            Values by key, None for a deleted key, that the platform and
+            operators write again at once; by default all that they have
+            changed since the backup.
+        """
+        self.fault = "reset"
+        self._wake_watches()
+        await trio.sleep(away_s)
+        if rewrites is None:
+            rewrites = self._list_foreign_changes(backup)
+        self.items = dict(backup.items)
+        now = trio.current_time()
+        self.leases = {
+            lease: (ttl_s, now + ttl_s)
+            for lease, (ttl_s, _) in backup.leases.items()
+        }
+        self.revision = self._compacted_revision = backup.revision
+        self._history.clear()
+        self.era = (self.era or 0) + 1
+        self.fault = None
+        for key, value in rewrites.items():
+            if value is None:
+                self.delete(key)
+            else:
+                self.put(key, value)
+        self._wake_watches()
+
+    def _list_foreign_changes(self, backup):
+        """Return what the platform and operators changed since a backup."""
+        changes = {}
+        for key in sorted(self.items.keys() | backup.items.keys()):
+            item = self.items.get(key)
+            if not key.startswith(READ_ONLY_PREFIXES):
+                continue
+            if item != backup.items.get(key):
+                changes[key] = item and base64.b64decode(item["value"])
+        return changes
+
     def _record_event(self, event):
         self._history.append(event)
         self._wake_watches()
@@ -145,11 +210,16 @@
         body = msgspec.json.decode(request.body) if request.body else {}
         if path == "/-/kv-watch":
             return await self._watch(fields)
+        era = self.era
         status, data = self._dispatch(path, fields, body)
         if path == "/-/kv-txn" and self.lose_answers > 0:
             self.lose_answers -= 1
             raise trio.BrokenResourceError
-        return http.make_json_response(data, status)
+        return self._make_response(data, status, era)
+
+    def _make_response(self, data, status, era):
+        headers = () if era is None else (("Store-Era", str(era)),)
+        return http.make_json_response(data, status, headers)
 
     def _dispatch(self, path, fields, body):
         if path == "/-/kv-key":
@@ -209,19 +279,24 @@
     async def _watch(self, fields):
         after_revision = int(fields["after"])
         prefix = fields.get("prefix", "")
+        era = self.era
         with trio.move_on_after(int(fields["waitMs"]) / 1000):
             while after_revision >= self._compacted_revision:
+                if era != self.era:
+                    raise trio.BrokenResourceError
+                if after_revision > self.revision:
+                    return self._make_response({}, 410, era)
                 changed = self._changed
                 if self._list_events(prefix, after_revision):
                     break
                 await changed.wait()
         if after_revision < self._compacted_revision:
-            return http.make_json_response({}, 410)
+            return self._make_response({}, 410, era)
         data = {
             "events": self._list_events(prefix, after_revision),
             "asOf": self.revision,
         }
-        return http.make_json_response(data)
+        return self._make_response(data, 200, era)
 
     def _list_events(self, prefix, after_revision):
         return [
