Record primaries again once all targets agree after a restore

Cause: the leadership record of the backup was believed. Ruled out: the choice by registered roles, as these named the present primary; the other VMs moving back, as they ignored the listing.

Change: in a new era each group's primary is recorded again, by the first VM of its order of ranks that has seen one in the former era, if all registered targets answer, one of them is primary, and none tells a newer term or is paused for one.

--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -226,6 +226,40 @@
     )
 
 
+def find_proved_primary(statuses):
+    """Return the primary that all targets of a group agree on.
+
+    No other target can have been promoted since: it would tell a newer term.
+    Nor is an order to promote one in progress, as that begins with replicas
+    that are paused for the next term.
+
+    Parameters
+    ----------
+    statuses : dict
+        Status by id of each registered target of the group, None if silent.
+
+    Returns
+    -------
+    str or None
+        Id of the target; None if they do not agree or one is silent.
+    """
+    if None in statuses.values():
+        return None
+    primaries = [
+        target_id
+        for target_id, status in statuses.items()
+        if status.role is desired.Role.PRIMARY
+    ]
+    if len(primaries) != 1:
+        return None
+    term = statuses[primaries[0]].term
+    is_newest = all(
+        status.term <= term and status.paused_term <= term
+        for status in statuses.values()
+    )
+    return primaries[0] if is_newest else None
+
+
 def choose_successor(replicas, min_position, known_position=records.LOG_START):
     """Return the replica that is certain to hold every acknowledged commit.
 
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -11,6 +11,7 @@
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import control
+from geraniumridge._internal.proxy import lead_renewal
 from geraniumridge._internal.proxy import replacement
 from geraniumridge._internal.utils import clock
 from geraniumridge._internal.utils import rendezvous
@@ -61,6 +62,12 @@
 """Age of the store view above which no failover starts. The VM itself may
 be cut off, and a write whose answer is lost may be applied much later."""
 
+UNPROVED_DELAY_S = (
+    lead_renewal.UNKNOWN_FORMER_DELAY_S + 2 * lead_renewal.RETRY_DELAY_S
+)
+"""Time after a restore of the store after which a VM that does not know the
+primary of the former era starts a failover."""
+
 GROUPS_PER_CHECK = 120
 """Groups examined per check, which bounds its cost in a fleet with
 thousands of groups; each of 1,200 groups is examined once a second."""
@@ -115,6 +122,9 @@
         self._promoter = promoter
         self._view_exchange = view_exchange
         self._suspicions = suspicions
+        self._lead_renewer = lead_renewal.LeadRenewer(
+            node, store, view_exchange
+        )
         self._rounds = rounds.RoundRobin(GROUPS_PER_CHECK)
         self._running_groups = set()
         self._reason_since = {}
@@ -130,9 +140,20 @@
         may_start = self._may_start_failover(now)
         for group in self._rounds.take_batch(list(state.groups)):
             self._track_pending(group, now)
+            self._check_copied(nursery, group, now)
             if may_start and group not in self._running_groups:
                 self._check_group(nursery, group, now)
 
+    def _check_copied(self, nursery, group, now):
+        """Renew a leadership record that the store was restored with."""
+        if not self._node.view.is_lead_copied(group):
+            return
+        is_member = self._node.primary_resolver.is_self_registered()
+        if is_member and self._has_current_view(now):
+            self._lead_renewer.start_if_due(
+                nursery, group, self._get_rank_delay_s(group), now
+            )
+
     def _may_start_failover(self, now):
         since = self._node.view.complete_since
         if since is None or now - since < STARTUP_DELAY_S:
@@ -185,6 +206,9 @@
 
         A VM that has recorded an order lately still runs its failover.
         """
+        if self._node.view.is_lead_copied(group):
+            self._check_unproved(nursery, group, now)
+            return
         _, since = self._pending_revisions[group]
         seen_order = self._node.view.get_order(group)
         active_at = max(since, seen_order.seen_at) if seen_order else since
@@ -192,6 +216,20 @@
             reason = Reason("taken over", may_keep_old=True)
             self._start(nursery, group, reason, since)
 
+    def _check_unproved(self, nursery, group, now):
+        """Start a failover where a restored record cannot be renewed.
+
+        No VM has acknowledged that it stopped using the primary, so nothing
+        of the former era counts for this failover.
+        """
+        view = self._node.view
+        delay_s = self._get_rank_delay_s(group)
+        if view.get_former_lead(group) is None:
+            delay_s += UNPROVED_DELAY_S
+        if now - view.era_began_at >= delay_s:
+            reason = Reason("restored", may_keep_old=True)
+            self._start(nursery, group, reason)
+
     def _get_takeover_delay_s(self, group, lead):
         """Return how long the record of a failover may stay unchanged."""
         if lead.holder == self._node.run_id:
--- a/tests/unit/decisions/test_succession.py
+++ b/tests/unit/decisions/test_succession.py
@@ -305,3 +305,29 @@
         "c": None,
     }
     assert succession.find_promoted_target(lead, found) == "b"
+
+
+REPLICA = make_status(desired.Role.REPLICA, 2)
+
+
+@pytest.mark.parametrize(
+    ("changed", "expected"),
+    [
+        ({}, "a"),
+        ({"b": None}, None),
+        ({"b": REPLICA._replace(term=3)}, None),
+        ({"b": REPLICA._replace(paused_term=3)}, None),
+        ({"a": REPLICA}, None),
+        ({"b": make_status(desired.Role.PRIMARY, 2)}, None),
+        ({"b": make_status(desired.Role.PRIMARY, 3)}, None),
+    ],
+    ids=str,
+)
+def test_primary_is_proved_only_by_all_targets(changed, expected):
+    """Guards against a former primary that a target still calls so."""
+    statuses = {
+        "a": make_status(desired.Role.PRIMARY, 2),
+        "b": REPLICA,
+        **changed,
+    }
+    assert succession.find_proved_primary(statuses) == expected
