Let no order of a former era be repeated under a later one

Looked for on related paths: two orders of both eras in progress at once, as the restored store may lack the record of one that is still carried out; and a former primary that a failover keeps, as the record of its replacement is lost. Usage reports have the same token and wait for the former reporter's lease after any change.

Change: a failover orders nothing for 15 s after a restore where this VM may have missed an order: unless its view showed a settled primary at most 1.3 s before, as a later failover would have had to wait for it, or the new era has a settled one. An old primary stays only if its log has all that VMs were told.

--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from geraniumridge._internal.decisions import acknowledged_commits
 from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal import exceptions
@@ -92,6 +93,7 @@
             node, group, self._revision, self._connections, self._log
         )
         self._was_order_logged = False
+        self._was_era_logged = False
         self._sender = promotion_sender.PromotionSender(
             node, store, promoter, group, self._revision
         )
@@ -177,7 +179,7 @@
                 return False
             return await self._complete(primary, statuses[primary].term)
         is_still_primary = old is not None and old.role is desired.Role.PRIMARY
-        if is_still_primary and self._may_keep_primary():
+        if is_still_primary and self._may_keep_primary(old):
             await self._resume_others()
             return await self._record_completion(self._lead.target, old.term)
         if not self._may_send_order():
@@ -197,12 +199,31 @@
             seen, target_id, clock.now()
         )
 
-    def _may_keep_primary(self):
-        """Return whether the failover may end with the old primary."""
+    def _may_keep_primary(self, status):
+        """Return whether the failover may end with the old primary.
+
+        `status` is that of the old primary, which still leads. It may lead a
+        former term alone, after a replacement that a restored store lost.
+        """
         seen = self._node.view.get_order(self._group)
-        return self._may_keep_old and promotion_orders.may_keep_primary(
+        if not self._may_keep_old or not promotion_orders.may_keep_primary(
             seen, self._lead.target
+        ):
+            return False
+        told = acknowledged_commits.combine_bounds(
+            self._node.view,
+            self._node.acknowledgements,
+            self._group,
+            self._revision,
+        )
+        if status.received >= told.position:
+            return True
+        self._log(
+            "old primary lacks commits",
+            received=status.received,
+            acknowledged=told.position,
         )
+        return False
 
     def _may_send_order(self, target_id=None):
         """Return whether an order may be sent now.
@@ -212,6 +233,11 @@
         target_id : str, optional
             Target of the order; by default that of the newest order.
         """
+        if self._node.view.may_have_unseen_order(self._group, clock.now()):
+            if not self._was_era_logged:
+                self._was_era_logged = True
+                self._log("waiting for orders of a former era")
+            return False
         seen = self._node.view.get_order(self._group)
         if target_id is None and seen is not None:
             target_id = seen.order.target
