Know a completed failover by its record, not by the answered revision

Seen: a former primary that didn't answer the first request to step down went on as one (KNOWN-RED.txt, test_draining_primary_serves_until_it_is_replaced: no replica within 1.0 s, once).

Cause: the transaction that records the new primary also deletes the order. A store that counts each change answers the delete's revision; the failover compared the record's with that, took itself for superseded and asked nobody again. Ruled out: a request that is never sent, as the first one is.

Change: it compares the record that it has written.

Evidence: test_step_down_that_fails_once_is_repeated fails before (not done in 2 s) and passes.

--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -84,7 +84,7 @@
         self._key = fleet.make_lead_key(group)
         self._lead = node.view.get_lead(group)
         self._revision = node.view.get_revision(self._key)
-        self._own_revisions = {self._revision}
+        self._completed_lead = None
         self._old_address = self._find_address(self._lead.target)
         self._may_keep_old = may_keep_old
         self._pending_since = pending_since
@@ -132,9 +132,15 @@
         )
 
     def _is_superseded(self):
-        """Return whether another VM has changed the leadership record."""
-        revision = self._node.view.get_revision(self._key)
-        return revision not in self._own_revisions
+        """Return whether another VM has changed the leadership record.
+
+        The store's answer to the write that completes the failover need not
+        be the record's revision, as it may count what else is written.
+        """
+        if self._node.view.get_revision(self._key) == self._revision:
+            return False
+        lead = self._node.view.get_lead(self._group)
+        return lead != self._completed_lead
 
     async def _wait_acknowledged(self):
         """Wait until no VM can use the old primary any more.
@@ -343,13 +349,13 @@
         write = store_port.Write(self._key, fleet.encode_record(lead))
         settled_orders = self._sender.list_settled(target_id)
         try:
-            revision = await self._store.commit(
+            await self._store.commit(
                 {self._key: self._revision}, [write], settled_orders
             )
         except exceptions.PlatformError as error:
             self._log("lead not settled", target=target_id, why=str(error))
             return False
-        self._own_revisions.add(revision)
+        self._completed_lead = lead
         self._log("lead settled", target=target_id, term=term)
         await self._view_exchange.notify_all()
         return True
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -250,6 +250,25 @@
     await proxies.wait_until(lambda: old.role == "replica", timeout_s=1.0)
 
 
+@run_in_cluster
+async def test_step_down_that_fails_once_is_repeated(cluster, proxy):
+    """Guards against a former primary that goes on as one.
+
+    The store counts the delete of the order in the transaction that records
+    the new primary, so it answers another revision than the record's.
+    """
+    await wait_startup_delay(cluster)
+    old = cluster.group.instances["i-0"]
+    cluster.register(old, state="draining")
+    await proxies.wait_until(lambda: cluster.promotion_server.promotion_calls)
+    old.is_silent = True
+    await wait_failover_completed(cluster)
+    await trio.sleep(0.6)
+    assert old.role == "primary"
+    old.is_silent = False
+    await proxies.wait_until(lambda: old.role == "replica", timeout_s=2.0)
+
+
 @run_in_cluster
 async def test_primary_in_an_evacuated_domain_is_replaced(cluster, proxy):
     await wait_startup_delay(cluster)
