Hand a failover's reason and orders over to the VM that goes on with it

Cause: whoever took a failover over didn't know its reason and might keep the old primary; it recorded a promoted target that was leaving by then, waited 3 s for the next failover, and then up to 15 s for an order that had been carried out.

Change: the leadership record says whether the old primary may stay, the order which attempt it is. A single order whose target was promoted since the failover was recorded is done. If the ordered target says that it leads, another VM goes on after 1.5 s in place of 6 s. A primary that is draining or evacuated isn't kept while another may lead, and its failover doesn't wait 3 s. As a last bound, no new statement goes to a primary that has been draining for 5.5 s.

--- a/src/geraniumridge/_internal/decisions/promotion_orders.py
+++ b/src/geraniumridge/_internal/decisions/promotion_orders.py
@@ -79,7 +79,7 @@
     return seen is None or seen.order.target == old_target
 
 
-def is_settled(seen, primary, result, now):
+def is_settled(seen, primary, result, now, has_new_term=False):
     """Return whether no order can be carried out after a failover's end.
 
     Parameters
@@ -92,11 +92,24 @@
         The orders that the run which ends the failover has sent itself.
     now : float
         Clock time, in seconds.
+    has_new_term : bool, optional
+        Whether that target was promoted since the failover was recorded.
     """
     if seen is not None and find_outstanding(seen, now) is None:
         return True
     if not result.sent:
-        return seen is None
+        if seen is None:
+            return True
+        return has_new_term and _is_only_order(seen.order, primary)
     # A single order that went unanswered is done once its target leads.
     is_done = result.sent == 1 and result.target == primary
     return is_done or result.answered == result.sent
+
+
+def _is_only_order(order, primary):
+    """Return whether a failover has sent no order but one for its primary.
+
+    Another VM may have sent it. Each order is recorded before it is sent, and
+    none is recorded any more once the failover is taken over.
+    """
+    return order.attempt == 1 and order.target == primary
--- a/src/geraniumridge/_internal/decisions/succession.py
+++ b/src/geraniumridge/_internal/decisions/succession.py
@@ -12,6 +12,10 @@
 takes over a failover in progress. Both may run it for a while; only the new
 one can still send an order (see `promotion_orders`)."""
 
+UNRECORDED_TAKEOVER_AFTER_S = 1.5
+"""The same once the target that was ordered to lead says that it does: only
+the record is missing, and the holder may not reach the store."""
+
 MAX_HOLDER_VIEW_AGE_S = 2.0
 """Age of its store view up to which a VM goes on with a failover."""
 
@@ -226,6 +230,37 @@
     )
 
 
+def may_be_promoted(target, evacuated):
+    """Return whether a registered target is to stay in use.
+
+    Parameters
+    ----------
+    target : desired.Target
+        The target.
+    evacuated : collection of str
+        Failure domains that operators have evacuated.
+    """
+    return not target.is_draining and target.domain not in evacuated
+
+
+def has_successor(targets, primary, evacuated):
+    """Return whether another target than a primary is to stay in use.
+
+    Parameters
+    ----------
+    targets : iterable of desired.Target
+        The registered targets of the group.
+    primary : str
+        Id of the primary.
+    evacuated : collection of str
+        Failure domains that operators have evacuated.
+    """
+    return any(
+        target.id != primary and may_be_promoted(target, evacuated)
+        for target in targets
+    )
+
+
 def find_proved_primary(statuses):
     """Return the primary that all targets of a group agree on.
 
--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -128,6 +128,7 @@
         self._acknowledgements = {}
         self._orders = {}
         self._usage_records = {}
+        self._draining_since = {}
         self._expiry_deadlines = {}
         self._lost_evacuations = {}
         self._removed_targets = {}
@@ -290,6 +291,14 @@
             return None
         return item.seen_at
 
+    def get_draining_s(self, target_id, now):
+        """Return for how long a target has been draining, in seconds.
+
+        That is since this view first showed it; 0 of a target that is not.
+        """
+        since = self._draining_since.get(target_id)
+        return 0.0 if since is None else now - since
+
     def get_restart(self, target_id):
         """Return a target's newest `Restart`.
 
@@ -596,6 +605,7 @@
             self._state = record
         elif isinstance(record, desired.Target):
             self._note_restart(now, item.revision, record)
+            self._note_draining(now, record)
             self._add_target(record)
         elif isinstance(record, Evacuation):
             self._evacuated.add(record.domain)
@@ -658,6 +668,12 @@
         if known.started_ms != target.started_ms:
             self._restarts[target.id] = Restart(now, revision)
 
+    def _note_draining(self, now, target):
+        if target.is_draining:
+            self._draining_since.setdefault(target.id, now)
+        else:
+            self._draining_since.pop(target.id, None)
+
     def _add_target(self, target):
         known = self._targets.get(target.id)
         if known is not None and known.group != target.group:
@@ -675,6 +691,7 @@
 
     def _drop_target(self, now, target_id):
         target = self._targets.pop(target_id, None)
+        self._draining_since.pop(target_id, None)
         if target is not None:
             del self._groups[target.group][target_id]
             self._removed_targets[target_id] = RemovedTarget(target, now)
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -44,7 +44,9 @@
     `holder` the name of the VM that completed the failover. `term` is
     the newest term known, 0 if unknown. `era` is the era of the store for
     which the record was written: in a later one it is only a copy, and may
-    name a former primary.
+    name a former primary. `may_keep_target` is whether a failover may end
+    with the old primary if that answers again; whoever takes the failover
+    over has to know.
     """
 
     target: str
@@ -52,6 +54,7 @@
     holder: str
     is_pending: bool
     era: Count = 0
+    may_keep_target: bool = True
 
 
 UNREADABLE_LEAD = Lead("", 0, "", True)
@@ -120,12 +123,14 @@
 
     It may be carried out long after its answer was given up. `fence` is
     its fencing token, the revision of the failover's leadership record;
-    `holder` is the VM that sends it.
+    `holder` is the VM that sends it. `attempt` counts the orders of the
+    failover up to this one, 0 in a record of an earlier version.
     """
 
     target: str
     fence: Count
     holder: str
+    attempt: Count = 0
 
 
 UNREADABLE_ORDER = PromotionOrder("", 0, "")
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -1,6 +1,7 @@
 """Detection of failed primaries and the start of failovers."""
 
 import logging
+import math
 import typing
 
 import trio
@@ -8,6 +9,7 @@
 from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import succession
 from geraniumridge._internal import exceptions
+from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
 from geraniumridge._internal.ports import store as store_port
 from geraniumridge._internal.proxy import control
@@ -73,7 +75,8 @@
 thousands of groups; each of 1,200 groups is examined once a second."""
 
 MIN_FAILOVER_INTERVAL_S = 3.0
-"""Minimum time between two failovers of one group. It is counted from the
+"""Minimum time between two failovers of one group, unless its primary is
+leaving. It is counted from the
 last check at which this VM saw a pending leadership record of the group,
 either another VM's or its own after its run had ended early."""
 
@@ -83,13 +86,15 @@
 
     With `may_keep_old` the old primary stays if it answers again, and
     with `needs_probe` it is asked for its status before the failover
-    starts. The reason must have held for `wait_s` seconds.
+    starts. The reason must have held for `wait_s` seconds. With `is_leaving`
+    the primary has to go within a bound, and no failover returns to it.
     """
 
     text: str
     may_keep_old: bool = False
     needs_probe: bool = False
     wait_s: float = 0.0
+    is_leaving: bool = False
 
 
 SILENT = Reason("silent", may_keep_old=True, needs_probe=True)
@@ -180,11 +185,9 @@
             self._reason_since.pop(group, None)
             return
         since = self._reason_since.setdefault(group, now)
-        if (
-            now
-            - self._last_pending_at.get(group, now - MIN_FAILOVER_INTERVAL_S)
-            < MIN_FAILOVER_INTERVAL_S
-        ):
+        last_pending_at = self._last_pending_at.get(group, -math.inf)
+        is_too_soon = now - last_pending_at < MIN_FAILOVER_INTERVAL_S
+        if is_too_soon and not reason.is_leaving:
             return
         if now - since >= max(reason.wait_s, self._get_start_delay_s(group)):
             self._start(nursery, group, reason)
@@ -213,7 +216,7 @@
         seen_order = self._node.view.get_order(group)
         active_at = max(since, seen_order.seen_at) if seen_order else since
         if now - active_at >= self._get_takeover_delay_s(group, lead):
-            reason = Reason("taken over", may_keep_old=True)
+            reason = Reason("taken over", may_keep_old=lead.may_keep_target)
             self._start(nursery, group, reason, since)
 
     def _check_unproved(self, nursery, group, now):
@@ -237,9 +240,19 @@
             # applied its write although the answer was lost.
             return 0.0
         delay_s = self._get_rank_delay_s(group)
-        if self._is_holder_registered(lead.holder):
-            return delay_s + succession.TAKEOVER_AFTER_S
-        return delay_s
+        if not self._is_holder_registered(lead.holder):
+            return delay_s
+        if self._is_order_carried_out(group):
+            return delay_s + succession.UNRECORDED_TAKEOVER_AFTER_S
+        return delay_s + succession.TAKEOVER_AFTER_S
+
+    def _is_order_carried_out(self, group):
+        """Return whether the target of a group's newest order leads."""
+        seen = self._node.view.get_order(group)
+        if seen is None:
+            return False
+        target = self._node.view.targets.get(seen.order.target)
+        return target is not None and target.role is desired.Role.PRIMARY
 
     def _start(self, nursery, group, reason, pending_since=None):
         """Start a failover based on the current leadership record.
@@ -294,12 +307,12 @@
         primary = self._node.primary_resolver.find_primary(group)
         if primary is None:
             return Reason("no primary", wait_s=NO_PRIMARY_DELAY_S)
-        if not self._has_successor(targets, primary):
+        if not succession.has_successor(targets, primary.id, view.evacuated):
             return None
         if primary.is_draining:
-            return Reason("draining")
+            return Reason("draining", is_leaving=True)
         if primary.domain in view.evacuated:
-            return Reason("evacuated")
+            return Reason("evacuated", is_leaving=True)
         usage = self._node.get_primary_usage(group)
         if usage.target == primary.id:
             if usage.unanswered_writes >= UNANSWERED_WRITES_LIMIT:
@@ -312,14 +325,6 @@
             return SUSPECTED
         return None
 
-    def _has_successor(self, targets, primary):
-        return any(
-            target.id != primary.id
-            and not target.is_draining
-            and target.domain not in self._node.view.evacuated
-            for target in targets
-        )
-
     def _is_primary_silent(self, primary, now):
         load = self._node.pools.get(primary.id).load
         return load.get_silent_s(now) >= SILENCE_BEFORE_PROBE_S
@@ -378,7 +383,12 @@
             self._node.get_log_positions(group).term,
         )
         lead = fleet.Lead(
-            old, term, self._node.run_id, True, self._node.view.era
+            old,
+            term,
+            self._node.run_id,
+            True,
+            self._node.view.era,
+            reason.may_keep_old,
         )
         write = store_port.Write(key, fleet.encode_record(lead))
         try:
--- a/src/geraniumridge/_internal/proxy/group_connections.py
+++ b/src/geraniumridge/_internal/proxy/group_connections.py
@@ -1,5 +1,6 @@
 """Control connections to all targets of a group during a failover."""
 
+from geraniumridge._internal.decisions import succession
 from geraniumridge._internal.decisions import target_sets
 from geraniumridge._internal.proxy import control
 from geraniumridge._internal.utils import clock
@@ -69,9 +70,9 @@
         """Return whether a target is registered and is to stay in use."""
         view = self._node.view
         target = view.targets.get(target_id)
-        if target is None or target.is_draining:
-            return False
-        return target.domain not in view.evacuated
+        return target is not None and succession.may_be_promoted(
+            target, view.evacuated
+        )
 
     def _list_departed(self):
         """Return the targets that left recently and have not returned.
--- a/src/geraniumridge/_internal/proxy/node.py
+++ b/src/geraniumridge/_internal/proxy/node.py
@@ -21,6 +21,10 @@
 """Time before the withdrawal bound at which API keys are no longer
 accepted from an old store view; allows for clock drift."""
 
+DRAINING_MARGIN_S = 1.5
+"""Time before the bound on departed targets at which a primary that drains
+gets no new statements; covers the age of the store view and a wait for a
+connection."""
 
 DEREGISTERED_USE_SHARE = 0.6
 """Fraction of the bound on departed targets during which a primary is
@@ -55,6 +59,9 @@
         self.max_key_age_s = (
             settings.bounds.withdrawal_ms / 1000 - KEY_EXPIRY_MARGIN_S
         )
+        self.max_draining_s = max(
+            0.0, settings.bounds.departure_ms / 1000 - DRAINING_MARGIN_S
+        )
         self.boot = boot
         self.dialect = dialect
         self.view_age = view_age.ViewAge()
--- a/src/geraniumridge/_internal/proxy/promotion_sender.py
+++ b/src/geraniumridge/_internal/proxy/promotion_sender.py
@@ -53,6 +53,7 @@
         self._order_key = fleet.make_order_key(group)
         self._result = promotion_orders.SendResult()
         self._outcome = None
+        self._attempts = 0
         self._order_revision = None
         self._recorded_at = None
 
@@ -88,8 +89,12 @@
 
     async def _send(self, target_id, may_send):
         """Connect, record the order and send it; return the `Outcome`."""
+        self._attempts += 1
         order = fleet.PromotionOrder(
-            target_id, self._fence, self._node.settings.vm.name
+            target_id,
+            self._fence,
+            self._node.settings.vm.name,
+            self._attempts,
         )
 
         def find_obstacle():
@@ -163,13 +168,17 @@
         except exceptions.PlatformError as error:
             self._log("refused order not removed", None, why=str(error))
 
-    def list_settled(self, primary):
-        """Return the keys of orders to delete once a target is primary."""
+    def list_settled(self, primary, has_new_term):
+        """Return the keys of orders to delete once a target is primary.
+
+        `has_new_term` is whether it was promoted since the failover was
+        recorded.
+        """
         seen = self._node.view.get_order(self._group)
         if not self._result.sent and seen is None:
             return []
         is_settled = promotion_orders.is_settled(
-            seen, primary, self._result, clock.now()
+            seen, primary, self._result, clock.now(), has_new_term
         )
         return [self._order_key] if is_settled else []
 
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -216,6 +216,8 @@
             seen, self._lead.target
         ):
             return False
+        if self._must_leave(self._lead.target):
+            return False
         told = acknowledged_commits.combine_bounds(
             self._node.view,
             self._node.acknowledgements,
@@ -231,6 +233,18 @@
         )
         return False
 
+    def _must_leave(self, target_id):
+        """Return whether another target has to take a primary's place.
+
+        It may have begun to leave since the failover was started.
+        """
+        view = self._node.view
+        return not self._connections.may_be_promoted(
+            target_id
+        ) and succession.has_successor(
+            view.list_group(self._group), target_id, view.evacuated
+        )
+
     def _may_send_order(self, target_id=None):
         """Return whether an order may be sent now.
 
@@ -347,7 +361,9 @@
             revisions.get_era(self._revision),
         )
         write = store_port.Write(self._key, fleet.encode_record(lead))
-        settled_orders = self._sender.list_settled(target_id)
+        settled_orders = self._sender.list_settled(
+            target_id, term > self._lead.term
+        )
         try:
             await self._store.commit(
                 {self._key: self._revision}, [write], settled_orders
--- a/src/geraniumridge/_internal/proxy/router.py
+++ b/src/geraniumridge/_internal/proxy/router.py
@@ -107,6 +107,10 @@
         )
         if target is None or target.id in excluded:
             return None
+        draining_s = self._node.view.get_draining_s(target.id, now)
+        if draining_s > self._node.max_draining_s:
+            # It should have been replaced by now.
+            return None
         if self._node.pools.get(target.id).load.is_overloaded(now):
             return None
         if not self._is_allowed(context, target):
--- a/tests/functional/test_proxy_failover.py
+++ b/tests/functional/test_proxy_failover.py
@@ -368,6 +368,71 @@
     )
 
 
+@run_in_cluster
+async def test_failover_that_is_taken_over_keeps_its_reason(cluster, proxy):
+    """Guards against a primary that is kept though its writes time out."""
+    await wait_startup_delay(cluster)
+    abandoned_lead = fleet.Lead(
+        "i-0", 1, "vm-9/boot", True, may_keep_target=False
+    )
+    cluster.store.put(LEAD_KEY, fleet.encode_record(abandoned_lead))
+    await wait_failover_completed(cluster, MAX_FAILOVER_S)
+    assert cluster.store.get(LEAD_KEY)["target"] != "i-0"
+
+
+@run_in_cluster
+async def test_failover_that_is_taken_over_keeps_no_leaving_primary(
+    cluster, proxy
+):
+    """Guards against statements to a primary that has been told to leave.
+
+    It began to drain after the failover had been started for another reason.
+    """
+    await wait_startup_delay(cluster)
+    abandoned_lead = fleet.Lead("i-0", 1, "vm-9/boot", True)
+    cluster.store.put(LEAD_KEY, fleet.encode_record(abandoned_lead))
+    cluster.register(cluster.group.instances["i-0"], state="draining")
+    await wait_failover_completed(cluster, MAX_FAILOVER_S)
+    assert cluster.store.get(LEAD_KEY)["target"] != "i-0"
+
+
+def test_promoted_target_that_leaves_unrecorded_is_replaced_in_time():
+    """Guards against a primary that leaves while its failover is taken over.
+
+    The VM that ordered its promotion does not reach the store any more.
+    """
+
+    async def main():
+        async with proxies.open_cluster() as cluster:
+            group = cluster.group
+            added = group.add("i-3", proxies.find_address(), "north")
+            await added.start(cluster.nursery)
+            cluster.register(added)
+            running = await add_proxy_per_domain(cluster)
+            await wait_startup_delay(cluster)
+            cluster.register(group.instances["i-0"], state="draining")
+            await proxies.wait_until(lambda: cluster.promotion_server.orders)
+            (order,) = cluster.promotion_server.orders
+            for proxy in running:
+                if proxy.settings.vm.name == order.holder:
+                    proxy.store_client.is_partitioned = True
+            promoted = group.instances[order.target]
+            await proxies.wait_until(lambda: promoted.role == "primary")
+            cluster.register(promoted, state="draining")
+
+            def is_replaced():
+                lead = cluster.store.get(LEAD_KEY)
+                return not lead["is_pending"] and lead["target"] not in (
+                    "i-0",
+                    promoted.name,
+                )
+
+            bound_s = running[0].settings.bounds.departure_ms / 1000
+            await proxies.wait_until(is_replaced, bound_s)
+
+    trio.run(main)
+
+
 @run_in_cluster
 async def test_fencing_tokens_increase(cluster, proxy):
     await wait_startup_delay(cluster)
