Hand a team's limit over before a VM that joins grants it

Cause: a newcomer began once it was settled, while a limiter whose view may still be used went by the members without it.

Change: a VM that becomes a limiter asks those that may take themselves for it, by the candidates of the last 4 s, to stop, and adopts the fallback rates that they tell. Without an answer it waits 4 s, by when no older view may be used. A limiter that a restore of the store has taken the registration from is asked or waited for in the same way. Settling counts from the registration.

--- a/src/geraniumridge/_internal/decisions/limit_holders.py
+++ b/src/geraniumridge/_internal/decisions/limit_holders.py
@@ -1,9 +1,11 @@
 """Choice of the VMs that limit a team, from the registered members."""
 
+import typing
+
 from geraniumridge._internal.utils import rendezvous
 
 STABLE_AFTER_S = 4.0
-"""Time since the opening of its lease after which a VM is a stable member.
+"""Time since its registration after which a VM is a stable member.
 A limiter whose store view is younger than this has seen the VM by then."""
 
 GRANT_END_MARGIN_S = 0.1
@@ -86,12 +88,108 @@
     return stable
 
 
+class _FormerCandidates(typing.NamedTuple):
+    """Candidates that were replaced at a clock time, in seconds."""
+
+    names: frozenset[str]
+    replaced_at: float
+
+
+class CandidateHistory:
+    """Candidates for the limiters as other VMs may still know them.
+
+    A VM whose store view is not current goes by an earlier set, and is the
+    limiter of a team for itself meanwhile.
+    """
+
+    def __init__(self):
+        self._names = None
+        self._former = []
+
+    def note(self, now, names, settled):
+        """Record the present candidates.
+
+        Parameters
+        ----------
+        now : float
+            Clock time, in seconds.
+        names : iterable of str
+            The candidates.
+        settled : iterable of str
+            Those that are stable members, which are the candidates of a VM
+            that knows no others.
+        """
+        names = frozenset(names)
+        if self._names is None:
+            self._names = frozenset(settled)
+        if names != self._names:
+            self._former.append(_FormerCandidates(self._names, now))
+            self._names = names
+
+    def list_predecessors(self, key, own, now):
+        """Return the VMs that may take themselves for the owner of a key.
+
+        Parameters
+        ----------
+        key : str
+            The key.
+        own : str
+            Name of this VM, which is not among them.
+        now : float
+            Clock time, in seconds.
+
+        Returns
+        -------
+        set of str
+        """
+        self._former = [
+            item
+            for item in self._former
+            if now - item.replaced_at < STABLE_AFTER_S
+        ]
+        owners = {
+            rendezvous.choose_node(key, item.names) for item in self._former
+        }
+        return owners - {None, own}
+
+
+class Takeover:
+    """Wait of a VM that has become a limiter for those before it.
+
+    Parameters
+    ----------
+    predecessors : iterable of str
+        VMs that may still grant tokens.
+    now : float
+        Clock time, in seconds, at which this VM knew that it is the limiter.
+        No VM relies on an earlier store view once `STABLE_AFTER_S` has
+        passed.
+    """
+
+    def __init__(self, predecessors, now):
+        self._predecessors = set(predecessors)
+        self._ends_at = now + STABLE_AFTER_S
+
+    @property
+    def predecessors(self):
+        """The VMs that have not said that they stopped."""
+        return frozenset(self._predecessors)
+
+    def note_stopped(self, vm):
+        """Record that a VM grants no more tokens."""
+        self._predecessors.discard(vm)
+
+    def is_done(self, now):
+        """Return whether no other VM can grant tokens any more."""
+        return not self._predecessors or now >= self._ends_at
+
+
 def may_grant(age_s, lease_left_s):
     """Return whether a limiter may still grant tokens.
 
-    A successor begins when the limiter's lease has ended or when the
-    successor is a stable member. The limiter may not have seen it yet, so
-    it stops before either can be the case.
+    A successor begins when the limiter's lease has ended, when the limiter
+    has told it that it stopped, or when the limiter's view has to show the
+    successor (see `Takeover`). The limiter stops before that.
 
     Parameters
     ----------
--- a/src/geraniumridge/_internal/decisions/rates.py
+++ b/src/geraniumridge/_internal/decisions/rates.py
@@ -164,6 +164,29 @@
         entry.renewed_at = now
         return granted
 
+    def list_fallback_rates(self, now):
+        """Return the rate that each domain's standby may use, by domain.
+
+        In tokens per second; without those that have expired.
+        """
+        return {
+            domain: entry.fallback_rate
+            for domain, entry in self._domains.items()
+            if entry.fallback_rate
+            and now - entry.renewed_at
+            <= FALLBACK_DELAY_S + LONG_FALLBACK_LIFETIME_S
+        }
+
+    def adopt_fallback_rate(self, domain, rate, now):
+        """Count a rate as used that a former limiter has granted.
+
+        A standby that does not know of this limiter yet may go on with it.
+        """
+        entry = self._get_domain(domain, now)
+        entry.fallback_rate = max(entry.fallback_rate, rate)
+        entry.is_in_use = True
+        entry.renewed_at = now
+
     def _resume(self, now):
         if self._bucket is None:
             self._bucket = token_bucket.Bucket(now)
--- a/src/geraniumridge/_internal/models/fleet.py
+++ b/src/geraniumridge/_internal/models/fleet.py
@@ -66,8 +66,8 @@
     """Registration of one VM, which its lease keeps alive.
 
     `boot` distinguishes two runs of the proxy. `is_settled` marks a
-    stable member: its lease was opened long enough ago that every other
-    VM knows of it.
+    stable member: it was registered long enough ago that every other VM
+    knows of it.
     """
 
     vm: str
--- a/src/geraniumridge/_internal/network/datagrams.py
+++ b/src/geraniumridge/_internal/network/datagrams.py
@@ -33,6 +33,7 @@
     messages.TimeQuery: messages.TimeAnswer,
     messages.UsageCounts: messages.UsageReceipt,
     messages.UsageSums: messages.UsageReceipt,
+    messages.HandoverRequest: messages.HandoverAnswer,
 }
 """Messages that answer one query, identified by its number. A
 `ConfirmationAnswer` is passed to a handler, as its request goes to many
@@ -76,6 +77,8 @@
     messages.UsageCounts,
     messages.UsageSums,
     messages.UsageReceipt,
+    messages.HandoverRequest,
+    messages.HandoverAnswer,
 )
 _TYPE_NUMBERS = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
--- a/src/geraniumridge/_internal/network/peer_messages.py
+++ b/src/geraniumridge/_internal/network/peer_messages.py
@@ -159,6 +159,38 @@
     default_spec = [("vm", None)]
 
 
+class HandoverRequest(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.I64, "number", True),
+        2: (TType.STRING, "team", True),
+        3: (TType.STRING, "vm", True),
+    }
+    default_spec = [("number", None), ("team", None), ("vm", None)]
+
+
+class DomainFallback(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.STRING, "domain", True),
+        2: (TType.I32, "rate", True),
+    }
+    default_spec = [("domain", None), ("rate", None)]
+
+
+class HandoverAnswer(thrift.TPayload):
+    """See ``peers.thrift``."""
+
+    thrift_spec = {
+        1: (TType.I64, "number", True),
+        2: (TType.BOOL, "is_stopped", True),
+        3: (TType.LIST, "fallbacks", (TType.STRUCT, DomainFallback), False),
+    }
+    default_spec = [("number", None), ("is_stopped", None), ("fallbacks", [])]
+
+
 class StandbyRequest(thrift.TPayload):
     """See ``peers.thrift``."""
 
--- a/src/geraniumridge/_internal/network/peers.thrift
+++ b/src/geraniumridge/_internal/network/peers.thrift
@@ -90,6 +90,29 @@
   1: required string vm
 }
 
+/** Asks the former limiter of a team to stop, as `vm` limits it now. */
+struct HandoverRequest {
+  1: required i64 number
+  2: required string team
+  3: required string vm
+}
+
+/** The fallback rate that a limiter has granted to the standby of a domain,
+    in thousandths of a token per second. */
+struct DomainFallback {
+  1: required string domain
+  2: required i32 rate
+}
+
+/** Answers a handover request. `is_stopped` is whether the VM grants no more
+    tokens of the team; `fallbacks` are the rates that standbys may go on using
+    without it. */
+struct HandoverAnswer {
+  1: required i64 number
+  2: required bool is_stopped
+  3: optional list<DomainFallback> fallbacks = []
+}
+
 /** Requests `wanted` tokens from the standby of a team in the domain. */
 struct StandbyRequest {
   1: required i64 number
--- a/src/geraniumridge/_internal/proxy/limit_directory.py
+++ b/src/geraniumridge/_internal/proxy/limit_directory.py
@@ -37,6 +37,7 @@
     def __init__(self, node):
         self._node = node
         self._limiters = rendezvous.OwnerIndex()
+        self._history = limit_holders.CandidateHistory()
         self._standbys = rendezvous.OwnerIndex()
         self._holders = {}
         self._version = None
@@ -107,7 +108,10 @@
         members = view.members
         self._holders.clear()
         self._own_teams = None
-        self._limiters.update(limit_holders.list_candidates(members.values()))
+        candidates = limit_holders.list_candidates(members.values())
+        self._limiters.update(candidates)
+        settled = (item.vm for item in members.values() if item.is_settled)
+        self._history.note(clock.now(), candidates, settled)
         domain = self._node.settings.vm.domain
         self._standbys.update(
             limit_holders.list_candidates(
@@ -132,6 +136,25 @@
             )
         return TeamHolders(limiter, standby)
 
+    def list_predecessors(self, team):
+        """Return the VMs that may take themselves for a team's limiter.
+
+        One that has left cannot, as its lease has ended, unless the store
+        lost its registration in a restore.
+        """
+        self._update()
+        now = clock.now()
+        found = self._history.list_predecessors(
+            limit_holders.make_limiter_key(team),
+            self._node.settings.vm.name,
+            now,
+        )
+        view = self._node.view
+        if view.era_began_at is not None:
+            if now - view.era_began_at < limit_holders.STABLE_AFTER_S:
+                return found
+        return found & view.members.keys()
+
     def is_self(self, member):
         """Return whether a member is this VM."""
         return member is not None and member.vm == self._node.settings.vm.name
--- a/src/geraniumridge/_internal/proxy/limiter.py
+++ b/src/geraniumridge/_internal/proxy/limiter.py
@@ -5,6 +5,7 @@
 from geraniumridge._internal.decisions import rates
 from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal.network import datagrams
+from geraniumridge._internal.proxy import limiter_handover
 from geraniumridge._internal.utils import clock
 
 logger = logging.getLogger(__name__)
@@ -12,12 +13,6 @@
 MAX_RETRY_DELAY_MS = 1_000
 """Longest delay that a limiter asks for."""
 
-FALLBACK_RATE_SCALE = 1_000
-"""Messages carry fallback rates in thousandths of a token per second."""
-
-MAX_ENCODED_RATE = 2**31 - 1
-"""Largest fallback rate in a message, which has 32 bits for it."""
-
 
 class Limiter:
     """Token buckets of the teams that this VM limits.
@@ -36,6 +31,9 @@
         self._node = node
         self._peers = peers
         self._directory = directory
+        self._handover = limiter_handover.LimiterHandover(
+            node, peers, directory, self._get_bucket
+        )
         self._buckets = {}
         self._limited = frozenset()
         messages = datagrams.messages
@@ -51,8 +49,12 @@
         for team in self._buckets.keys() - teams.keys():
             del self._buckets[team]
         limited = self._directory.find_own_teams(teams).limited
+        self._handover.refresh(limited, now)
         if not self._directory.may_grant(now):
             limited = frozenset()
+        limited = frozenset(
+            team for team in limited if self._handover.may_grant(team, now)
+        )
         for team in self._buckets.keys() & (self._limited - limited):
             self._buckets[team].suspend()
         self._limited = limited
@@ -60,6 +62,10 @@
             bucket = self._get_bucket(team, now)
             bucket.fill(_get_allowance(teams[team]), now)
 
+    def start_due_handovers(self, nursery):
+        """Ask former limiters to stop, in tasks of a nursery."""
+        self._handover.start_due_requests(nursery)
+
     def grant(self, number, team, wanted, domain):
         """Return the grant for a VM of a domain.
 
@@ -95,7 +101,8 @@
 
     async def _answer_renewal(self, message, sender):
         renewal = rates.FallbackRenewal(
-            message.rate / FALLBACK_RATE_SCALE, message.is_in_use
+            message.rate / limiter_handover.FALLBACK_RATE_SCALE,
+            message.is_in_use,
         )
         rate = None
         if self._check_domain(message.domain) is not None:
@@ -103,7 +110,7 @@
         answer = datagrams.messages.FallbackGrant(
             number=message.number,
             is_owner=rate is not None,
-            rate=encode_rate(rate or 0.0),
+            rate=limiter_handover.encode_rate(rate or 0.0),
         )
         await self._peers.send(answer, sender)
 
@@ -129,7 +136,10 @@
         limit = state.teams.get(team) if state else None
         if limit is None or not self._is_limiter(team):
             return None
-        return limit if self._directory.may_grant(now) else None
+        may_grant = self._directory.may_grant(
+            now
+        ) and self._handover.may_grant(team, now)
+        return limit if may_grant else None
 
     def _is_limiter(self, team):
         return self._directory.is_self(self._directory.find(team).limiter)
@@ -155,11 +165,6 @@
     )
 
 
-def encode_rate(rate):
-    """Return a rate in tokens per second as in messages."""
-    return min(MAX_ENCODED_RATE, int(rate * FALLBACK_RATE_SCALE))
-
-
 def _get_allowance(limit):
     """Return the part of a team's limit that its limiter grants."""
     allowance = token_bucket.Allowance(limit.rate_per_s, limit.burst)
--- a/src/geraniumridge/_internal/proxy/limits.py
+++ b/src/geraniumridge/_internal/proxy/limits.py
@@ -299,11 +299,12 @@
         self._standby.refresh(state.teams, now)
 
     def start_due_renewals(self, nursery):
-        """Renew the fallback rates that this VM holds as a standby.
+        """Renew fallback rates as a standby, and take over as a limiter.
 
         Called periodically; the renewals run in tasks of the nursery.
         """
         self._standby.start_due_renewals(nursery, clock.now())
+        self._limiter.start_due_handovers(nursery)
 
     def _get_team_state(self, team, now):
         team_state = self._team_states.get(team)
--- a/src/geraniumridge/_internal/proxy/membership.py
+++ b/src/geraniumridge/_internal/proxy/membership.py
@@ -60,7 +60,8 @@
         self._lease_relay = lease_relay
         self._on_registered = on_registered
         self._lease = 0
-        self._lease_opened_at = None
+        self._is_lease_new = True
+        self._registered_at = None
         self._uses_relay = False
         self._direct_attempt_at = -math.inf
         min_lease_s = node.settings.platform.least_lease_ms / 1000
@@ -82,7 +83,8 @@
                 await trio.sleep(RENEW_INTERVAL_S)
             except exceptions.LeaseLostError:
                 self._lease = 0
-                self._lease_opened_at = None
+                self._is_lease_new = True
+                self._registered_at = None
                 self._node.is_registration_written = False
                 logger.warning(
                     "lease expired; registering again",
@@ -123,13 +125,16 @@
         # The store starts the lease when the call arrives, never before it
         # was sent, so this bound is safe.
         self._node.lease_until = sent_at + self._lease_s
-        now = clock.now()
-        if self._lease_opened_at is None:
-            self._lease_opened_at = now
+        if self._is_lease_new:
+            self._is_lease_new = False
             if await self._continue_registration():
-                self._lease_opened_at = now - limit_holders.STABLE_AFTER_S
+                self._registered_at = -math.inf
                 return
-        is_stable = now - self._lease_opened_at >= limit_holders.STABLE_AFTER_S
+        is_stable = (
+            self._registered_at is not None
+            and clock.now() - self._registered_at
+            >= limit_holders.STABLE_AFTER_S
+        )
         if not self._is_registered(is_stable):
             await self._register(is_stable)
 
@@ -208,6 +213,8 @@
         )
         await self._store.commit(expected or {}, [write])
         self._node.is_registration_written = True
+        if self._registered_at is None:
+            self._registered_at = clock.now()
         logger.info(
             "registered",
             extra={"event": "member_registered", "is_stable": is_stable},
--- a/src/geraniumridge/_internal/proxy/standby.py
+++ b/src/geraniumridge/_internal/proxy/standby.py
@@ -4,6 +4,7 @@
 from geraniumridge._internal.decisions import token_bucket
 from geraniumridge._internal.network import datagrams
 from geraniumridge._internal.proxy import limiter
+from geraniumridge._internal.proxy import limiter_handover
 from geraniumridge._internal.utils import clock
 
 ANSWER_TIMEOUT_S = 0.05
@@ -106,14 +107,14 @@
         request = datagrams.messages.FallbackRenewalRequest(
             team=team,
             domain=domain,
-            rate=limiter.encode_rate(renewal.rate),
+            rate=limiter_handover.encode_rate(renewal.rate),
             is_in_use=renewal.is_in_use,
         )
         answer = await self._peers.query(
             request, member, ANSWER_TIMEOUT_S, MAX_ANSWER_TIMEOUT_S
         )
         if answer is not None and answer.is_owner:
-            rate = max(0.0, answer.rate / limiter.FALLBACK_RATE_SCALE)
+            rate = max(0.0, answer.rate / limiter_handover.FALLBACK_RATE_SCALE)
             bucket.note_renewal(rate, member, sent_at)
 
     async def _answer_request(self, message, sender):
--- a/tests/unit/decisions/test_limit_holders.py
+++ b/tests/unit/decisions/test_limit_holders.py
@@ -1,6 +1,7 @@
 """Choice of the limiter and the standby of a team."""
 
 from geraniumridge._internal.decisions import limit_holders
+from geraniumridge._internal.utils import rendezvous
 from lib import fleets
 
 
@@ -58,3 +59,46 @@
         limit_holders.find_standby("team", "north", limiter, members)
         == limiter
     )
+
+
+def find_key(first, second):
+    """Return a key whose owner is one VM, and the other without that."""
+    return next(
+        key
+        for key in map(str, range(1000))
+        if rendezvous.rank_nodes(key, [first, second]) == [first, second]
+    )
+
+
+def test_predecessor_is_known_for_as_long_as_its_view_may_be_used():
+    """Guards against two limiters when a VM joins."""
+    key = find_key("new", "old")
+    history = limit_holders.CandidateHistory()
+    history.note(0.0, ["old"], ["old"])
+    history.note(10.0, ["old", "new"], ["old", "new"])
+    assert history.list_predecessors(key, "new", 10.0) == {"old"}
+    assert history.list_predecessors(key, "new", 13.9) == {"old"}
+    assert not history.list_predecessors(key, "new", 14.0)
+
+
+def test_settled_members_precede_those_that_joined_with_a_view():
+    """Guards against a VM that starts beside a limiter, as one of many."""
+    key = find_key("new", "old")
+    history = limit_holders.CandidateHistory()
+    history.note(0.0, ["old", "new", "other"], ["old"])
+    assert history.list_predecessors(key, "new", 0.0) == {"old"}
+
+
+def test_fleet_that_starts_at_once_has_no_predecessors():
+    history = limit_holders.CandidateHistory()
+    history.note(0.0, ["a", "b"], [])
+    assert not history.list_predecessors("key", "a", 0.0)
+
+
+def test_takeover_ends_with_the_last_answer_or_the_age_of_views():
+    takeover = limit_holders.Takeover(["a", "b"], 10.0)
+    takeover.note_stopped("a")
+    assert not takeover.is_done(13.9)
+    assert takeover.is_done(14.0)
+    takeover.note_stopped("b")
+    assert takeover.is_done(10.0)
--- a/tests/unit/decisions/test_rates.py
+++ b/tests/unit/decisions/test_rates.py
@@ -356,3 +356,32 @@
     during = [at for at in cut_off if 10.0 <= at < 16.0]
     if rate > 10 and delivery is Delivery.REQUEST_LOST:
         assert len(during) >= rate * 6.0 / 3 * 0.7
+
+
+def test_fallback_rate_of_a_former_limiter_is_subtracted():
+    """Guards against a limit that a domain uses beside its new limiter.
+
+    The standby there may not know of the new one and use the rate it has.
+    """
+    former = rates.LimiterBucket(0.0)
+    allowance = token_bucket.Allowance(100.0, 10.0)
+    for step in range(60):
+        former.grant("north", allowance, 3, step / 20)
+    renewal = rates.FallbackRenewal(0.0, False)
+    granted = former.renew_fallback("north", renewal, allowance, 3.0)
+    assert granted > 20
+    assert former.list_fallback_rates(3.1) == {"north": granted}
+    successor = rates.LimiterBucket(3.1)
+    successor.adopt_fallback_rate("north", granted, 3.1)
+    plain = rates.LimiterBucket(3.1)
+    taken, full = (
+        sum(
+            bucket.grant("south", allowance, 5, 3.1 + step / 20)[0]
+            for step in range(20)
+        )
+        for bucket in (successor, plain)
+    )
+    assert taken <= full - 0.8 * granted
+    # The standby has come to the new limiter and uses the rate no more.
+    successor.renew_fallback("north", renewal, allowance, 4.2)
+    assert successor.list_fallback_rates(4.2).get("north", 0.0) < granted
--- a/tests/unit/proxy/test_datagram_handlers.py
+++ b/tests/unit/proxy/test_datagram_handlers.py
@@ -160,6 +160,10 @@
         is_renewed=st.booleans(),
         is_lost=st.booleans(),
     ),
+    st.builds(messages.HandoverRequest, number=numbers, team=names, vm=names),
+    st.builds(
+        messages.HandoverAnswer, number=numbers, is_stopped=st.booleans()
+    ),
     st.builds(messages.TimeQuery, number=numbers),
     st.builds(messages.TimeAnswer, number=numbers, time_us=numbers),
     st.builds(
@@ -242,6 +246,7 @@
                 store_view.list_groups_with_newer_lead
             ),
             revision=store_view.revision,
+            era_began_at=store_view.era_began_at,
             change_log=store_view.change_log,
         ),
         view_age=age,
