Keep what a view has of a former era in a module of its own

A failover whose ordered target leads is taken over 1.5 s after that was seen, not after the order was: a target that took long to lead would have been taken over at once, though its holder was about to record it.

--- a/src/geraniumridge/_internal/decisions/view.py
+++ b/src/geraniumridge/_internal/decisions/view.py
@@ -9,7 +9,7 @@
 import typing
 
 from geraniumridge._internal.decisions import change_log
-from geraniumridge._internal.decisions import primary_resolver
+from geraniumridge._internal.decisions import former_era
 from geraniumridge._internal.decisions import promotion_orders
 from geraniumridge._internal.decisions import roster
 from geraniumridge._internal.models import desired
@@ -80,16 +80,6 @@
     seen_at: float
 
 
-class FormerLead(typing.NamedTuple):
-    """A leadership record of a former era of the store.
-
-    It held at least until the clock time `confirmed_at`, in seconds.
-    """
-
-    lead: fleet.Lead
-    confirmed_at: float
-
-
 class Entry(typing.NamedTuple):
     """A key's revision and decoded value, None if it cannot be decoded."""
 
@@ -119,12 +109,8 @@
         self._roster = roster.Roster()
         self._change_log = change_log.ChangeLog()
         self._lead_revisions = {}
-        self._copied_leads = set()
-        self._former_leads = {}
-        self._former_version = None
-        self._groups_without_unseen_order = set()
+        self._former_era = former_era.FormerEra()
         self._lost_orders = set()
-        self._era_began_at = None
         self._acknowledgements = {}
         self._orders = {}
         self._usage_records = {}
@@ -149,8 +135,8 @@
 
     @property
     def era_began_at(self):
-        """Clock time at which this view first saw the era, or None."""
-        return self._era_began_at
+        """Clock time at which this view first saw the era, None in era 0."""
+        return self._former_era.ended_at
 
     @property
     def change_log(self):
@@ -222,16 +208,18 @@
         The store then has none, or one that it was restored with, which may
         name a former primary.
         """
+        if not self.era:
+            return False
         has_entry = fleet.make_lead_key(group) in self._entries
-        return self.era > 0 and (not has_entry or group in self._copied_leads)
+        return not has_entry or self._former_era.is_lead_copied(group)
 
     def get_former_lead(self, group):
-        """Return the `FormerLead` that this view has seen itself, or None.
+        """Return the `former_era.FormerLead` that this view saw, or None.
 
         Only of a group whose primary was settled when the era ended, and
         until the present era has a leadership record of the group.
         """
-        return self._former_leads.get(group)
+        return self._former_era.leads.get(group)
 
     def may_have_unseen_order(self, group, now):
         """Return whether an order that this view lacks may be carried out.
@@ -241,14 +229,11 @@
         sent an order since; nor once the present era has a primary of the
         group.
         """
-        if not self.era or group in self._groups_without_unseen_order:
-            return False
-        age_s = now - self._era_began_at
-        return age_s <= promotion_orders.ORDER_LIFETIME_S
+        return self._former_era.may_have_unseen_order(group, now)
 
     def list_groups_with_former_lead(self):
-        """Return the groups that have a `FormerLead`."""
-        return list(self._former_leads)
+        """Return the groups that have a `former_era.FormerLead`."""
+        return list(self._former_era.leads)
 
     def get_revision(self, key):
         """Return a key's revision, 0 if it does not exist."""
@@ -396,36 +381,22 @@
     def _begins_era(self, revision):
         """Return whether a listing is the first of a later era."""
         era = revisions.get_era(revision)
-        return era > 0 and (self._era_began_at is None or era > self.era)
+        return era > 0 and (self.era_began_at is None or era > self.era)
 
     def _begin_era(self, now, confirmed_at):
         """Set aside what held in the former era, which has ended.
 
         Its changes after `confirmed_at` are not known.
         """
-        self._groups_without_unseen_order.clear()
-        for key, entry in self._entries.items():
-            if isinstance(entry.record, fleet.Lead):
-                group = fleet.parse_lead_group(key)
-                self._note_former_lead(now, group, entry.record, confirmed_at)
-        if self._state is not None:
-            self._former_version = self._state.version
-        self._era_began_at = now
+        leads = {
+            fleet.parse_lead_group(key): entry.record
+            for key, entry in self._entries.items()
+            if isinstance(entry.record, fleet.Lead)
+        }
+        self._former_era.end(now, leads, confirmed_at, self._state)
         # What operators and targets wrote since the backup returns.
         self.note_outage_end(now)
 
-    def _note_former_lead(self, now, group, lead, confirmed_at):
-        if group in self._copied_leads:
-            # That of a still earlier era, if any, is the newest known.
-            return
-        self._former_leads.pop(group, None)
-        if lead.is_pending:
-            return
-        self._former_leads[group] = FormerLead(lead, confirmed_at)
-        # A failover that began later would have had to wait for this VM.
-        if now - confirmed_at <= primary_resolver.MAX_UNCONFIRMED_AGE_S:
-            self._groups_without_unseen_order.add(group)
-
     def _keep_lost(self, now, key):
         """Keep what a restored store has lost, where that still counts.
 
@@ -436,9 +407,8 @@
         """
         record = self._entries[key].record
         if isinstance(record, fleet.Lead):
-            group = fleet.parse_lead_group(key)
             self._entries[key] = Entry(0, _suspend_lead(record))
-            self._copied_leads.add(group)
+            self._former_era.note_copied_lead(fleet.parse_lead_group(key))
             return True
         if isinstance(record, Evacuation):
             self._entries[key] = Entry(0, record)
@@ -535,55 +505,33 @@
         if isinstance(record, fleet.Lead):
             return self._keep_newer_lead(item, record, known_record)
         if isinstance(record, desired.DesiredState):
-            return self._keep_newer_state(record)
+            return self._former_era.choose_state(record, self._state)
         if isinstance(record, fleet.PromotionOrder):
             return self._keep_newer_order(item, record, known_record)
-        is_restored = known is not None and revisions.get_era(
-            item.revision
-        ) > revisions.get_era(known.revision)
-        if not is_restored:
-            return record
-        if isinstance(record, desired.Target):
-            return _keep_newer_target(record, known_record)
+        if isinstance(record, desired.Target) and known is not None:
+            former = revisions.get_era(known.revision)
+            if former < revisions.get_era(item.revision):
+                return former_era.choose_target(record, known_record)
         return record
 
     def _keep_newer_order(self, item, order, known_record):
-        """Return the newest order, None if the record is an outdated copy."""
         fence_era = revisions.get_era(order.fence)
         is_copy = fence_era < revisions.get_era(item.revision)
         if not is_copy or order is fleet.UNREADABLE_ORDER:
             return order
-        if isinstance(known_record, fleet.PromotionOrder):
-            return max(order, known_record, key=lambda known: known.fence)
         group = fleet.parse_order_group(item.key)
-        # The former era had removed it before it ended.
-        return None if group in self._former_leads else order
-
-    def _keep_newer_state(self, state):
-        """Return the present state in place of one of before a restore.
-
-        Operators may write several versions again, one after the other.
-        """
-        if self._former_version is None:
-            return state
-        if state.version >= self._former_version:
-            self._former_version = None
-            return state
-        return self._state
+        return self._former_era.choose_order(group, order, known_record)
 
     def _keep_newer_lead(self, item, lead, known_record):
         group = fleet.parse_lead_group(item.key)
         if lead.era < revisions.get_era(item.revision):
-            self._copied_leads.add(group)
+            self._former_era.note_copied_lead(group)
             if isinstance(known_record, fleet.Lead):
                 return _suspend_lead(known_record)
             return _suspend_lead(lead)
         if lead is fleet.UNREADABLE_LEAD and known_record is not None:
             return _suspend_lead(known_record)
-        self._copied_leads.discard(group)
-        self._former_leads.pop(group, None)
-        if not lead.is_pending:
-            self._groups_without_unseen_order.add(group)
+        self._former_era.note_present_lead(group, lead)
         return lead
 
     def _note_run_end(self, now, key, record, revision):
@@ -714,22 +662,6 @@
     return former._replace(holder="", is_pending=True)
 
 
-def _keep_newer_target(restored, known):
-    """Return what holds of a target that a restored store has an entry of.
-
-    The entry may be of an earlier run, or of before the target began to
-    drain.
-    """
-    if not isinstance(known, desired.Target):
-        return restored
-    if restored.started_ms < known.started_ms:
-        return known
-    is_same_run = restored.started_ms == known.started_ms
-    if is_same_run and known.is_draining:
-        return restored._replace(is_draining=True)
-    return restored
-
-
 def _make_departed_target(group, recorded):
     """Return a target of which only identity and address are known."""
     return desired.Target(
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -76,9 +76,9 @@
 
 MIN_FAILOVER_INTERVAL_S = 3.0
 """Minimum time between two failovers of one group, unless its primary is
-leaving. It is counted from the
-last check at which this VM saw a pending leadership record of the group,
-either another VM's or its own after its run had ended early."""
+leaving. It is counted from the last check at which this VM saw a pending
+leadership record of the group, either another VM's or its own after its run
+had ended early."""
 
 
 class Reason(typing.NamedTuple):
@@ -135,6 +135,7 @@
         self._reason_since = {}
         self._pending_revisions = {}
         self._last_pending_at = {}
+        self._leading_since = {}
 
     def check(self, nursery):
         """Start the failovers that are due; called periodically."""
@@ -197,6 +198,7 @@
         lead = self._node.view.get_lead(group)
         if lead is None or not lead.is_pending:
             self._pending_revisions.pop(group, None)
+            self._leading_since.pop(group, None)
             return
         key = fleet.make_lead_key(group)
         revision = self._node.view.get_revision(key)
@@ -215,7 +217,8 @@
         _, since = self._pending_revisions[group]
         seen_order = self._node.view.get_order(group)
         active_at = max(since, seen_order.seen_at) if seen_order else since
-        if now - active_at >= self._get_takeover_delay_s(group, lead):
+        self._note_leading(group, now)
+        if now - active_at >= self._get_takeover_delay_s(group, lead, now):
             reason = Reason("taken over", may_keep_old=lead.may_keep_target)
             self._start(nursery, group, reason, since)
 
@@ -233,7 +236,7 @@
             reason = Reason("restored", may_keep_old=True)
             self._start(nursery, group, reason)
 
-    def _get_takeover_delay_s(self, group, lead):
+    def _get_takeover_delay_s(self, group, lead, now):
         """Return how long the record of a failover may stay unchanged."""
         if lead.holder == self._node.run_id:
             # This VM no longer runs it: its run ended early, or the store
@@ -242,17 +245,23 @@
         delay_s = self._get_rank_delay_s(group)
         if not self._is_holder_registered(lead.holder):
             return delay_s
-        if self._is_order_carried_out(group):
-            return delay_s + succession.UNRECORDED_TAKEOVER_AFTER_S
+        leading_s = now - self._leading_since.get(group, now)
+        if leading_s >= delay_s + succession.UNRECORDED_TAKEOVER_AFTER_S:
+            return 0.0
         return delay_s + succession.TAKEOVER_AFTER_S
 
-    def _is_order_carried_out(self, group):
-        """Return whether the target of a group's newest order leads."""
+    def _note_leading(self, group, now):
+        """Record since when the target of a group's newest order leads.
+
+        Its failover then lacks only the record.
+        """
         seen = self._node.view.get_order(group)
-        if seen is None:
-            return False
-        target = self._node.view.targets.get(seen.order.target)
-        return target is not None and target.role is desired.Role.PRIMARY
+        target_id = seen.order.target if seen is not None else None
+        target = self._node.view.targets.get(target_id)
+        if target is not None and target.role is desired.Role.PRIMARY:
+            self._leading_since.setdefault(group, now)
+        else:
+            self._leading_since.pop(group, None)
 
     def _start(self, nursery, group, reason, pending_since=None):
         """Start a failover based on the current leadership record.
@@ -386,9 +395,9 @@
             old,
             term,
             self._node.run_id,
-            True,
-            self._node.view.era,
-            reason.may_keep_old,
+            is_pending=True,
+            era=self._node.view.era,
+            may_keep_target=reason.may_keep_old,
         )
         write = store_port.Write(key, fleet.encode_record(lead))
         try:
--- a/src/geraniumridge/_internal/proxy/lead_renewal.py
+++ b/src/geraniumridge/_internal/proxy/lead_renewal.py
@@ -95,8 +95,8 @@
             primary,
             statuses[primary].term,
             self._node.settings.vm.name,
-            False,
-            era,
+            is_pending=False,
+            era=era,
         )
         write = store_port.Write(key, fleet.encode_record(lead))
         try:
--- a/src/geraniumridge/_internal/proxy/replacement.py
+++ b/src/geraniumridge/_internal/proxy/replacement.py
@@ -357,8 +357,8 @@
             target_id,
             term,
             self._node.settings.vm.name,
-            False,
-            revisions.get_era(self._revision),
+            is_pending=False,
+            era=revisions.get_era(self._revision),
         )
         write = store_port.Write(self._key, fleet.encode_record(lead))
         settled_orders = self._sender.list_settled(
--- a/tests/unit/decisions/test_view.py
+++ b/tests/unit/decisions/test_view.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from geraniumridge._internal.decisions import former_era
 from geraniumridge._internal.decisions import view
 from geraniumridge._internal.models import desired
 from geraniumridge._internal.models import fleet
@@ -362,7 +363,7 @@
     )
     assert made.is_lead_copied("ledger")
     assert made.get_lead("ledger") == fleet.Lead("i-2", 5, "", True)
-    assert made.get_former_lead("ledger") == view.FormerLead(lead, 0.7)
+    assert made.get_former_lead("ledger") == former_era.FormerLead(lead, 0.7)
     expected = make_revision(3) if is_in_copy else 0
     assert made.get_revision(key) == expected
     renewed = Item(key, lead._replace(era=2), make_revision(5))
@@ -383,7 +384,7 @@
         make_revision(4, era=3), copy._replace(revision=make_revision(3, 3))
     )
     made.replace(2.0, third, 1.9)
-    assert made.get_former_lead("ledger") == view.FormerLead(lead, 0.7)
+    assert made.get_former_lead("ledger") == former_era.FormerLead(lead, 0.7)
     assert made.get_lead("ledger").target == "i-2"
 
 
