Count the time until a takeover from each record, and keep a handover short

Cause: once the ordered target led for 1.5 s, the delay was 0 for each further record of the failover, too. A limiter in a handover said that it isn't one, so those that asked took it for silent and waited 0.5 s; and the first request to another region timed out before its answer.

Change: the 1.5 s count from the newest record, order or sight of the leading target. A limiter that hands over or takes over tells those that ask to come back in 50 ms. Its request waits 0.25 s for the answer.

The handover tests ask the limiter itself whether it may grant, as an answer without tokens no longer tells.

--- a/src/geraniumridge/_internal/decisions/limit_holders.py
+++ b/src/geraniumridge/_internal/decisions/limit_holders.py
@@ -105,6 +105,7 @@
     def __init__(self):
         self._names = None
         self._former = []
+        self._former_names = frozenset()
 
     def note(self, now, names, settled):
         """Record the present candidates.
@@ -124,6 +125,7 @@
             self._names = frozenset(settled)
         if names != self._names:
             self._former.append(_FormerCandidates(self._names, now))
+            self._former_names |= self._names
             self._names = names
 
     def list_predecessors(self, key, own, now):
@@ -142,15 +144,27 @@
         -------
         set of str
         """
+        self._expire(now)
+        ranked = rendezvous.rank_nodes(key, self._former_names)
+        owners = {
+            next((vm for vm in ranked if vm in item.names), None)
+            for item in self._former
+        }
+        return owners - {None, own}
+
+    def _expire(self, now):
+        if not self._former:
+            return
+        if now - self._former[0].replaced_at < STABLE_AFTER_S:
+            return
         self._former = [
             item
             for item in self._former
             if now - item.replaced_at < STABLE_AFTER_S
         ]
-        owners = {
-            rendezvous.choose_node(key, item.names) for item in self._former
-        }
-        return owners - {None, own}
+        self._former_names = frozenset().union(
+            *(item.names for item in self._former)
+        )
 
 
 class Takeover:
--- a/src/geraniumridge/_internal/proxy/failover.py
+++ b/src/geraniumridge/_internal/proxy/failover.py
@@ -218,7 +218,8 @@
         seen_order = self._node.view.get_order(group)
         active_at = max(since, seen_order.seen_at) if seen_order else since
         self._note_leading(group, now)
-        if now - active_at >= self._get_takeover_delay_s(group, lead, now):
+        active_at = max(active_at, self._leading_since.get(group, active_at))
+        if now - active_at >= self._get_takeover_delay_s(group, lead):
             reason = Reason("taken over", may_keep_old=lead.may_keep_target)
             self._start(nursery, group, reason, since)
 
@@ -236,7 +237,7 @@
             reason = Reason("restored", may_keep_old=True)
             self._start(nursery, group, reason)
 
-    def _get_takeover_delay_s(self, group, lead, now):
+    def _get_takeover_delay_s(self, group, lead):
         """Return how long the record of a failover may stay unchanged."""
         if lead.holder == self._node.run_id:
             # This VM no longer runs it: its run ended early, or the store
@@ -245,9 +246,8 @@
         delay_s = self._get_rank_delay_s(group)
         if not self._is_holder_registered(lead.holder):
             return delay_s
-        leading_s = now - self._leading_since.get(group, now)
-        if leading_s >= delay_s + succession.UNRECORDED_TAKEOVER_AFTER_S:
-            return 0.0
+        if group in self._leading_since:
+            return delay_s + succession.UNRECORDED_TAKEOVER_AFTER_S
         return delay_s + succession.TAKEOVER_AFTER_S
 
     def _note_leading(self, group, now):
--- a/src/geraniumridge/_internal/proxy/limiter.py
+++ b/src/geraniumridge/_internal/proxy/limiter.py
@@ -14,6 +14,11 @@
 """Longest delay that a limiter asks for."""
 
 
+HANDOVER_RETRY_DELAY_S = 0.05
+"""Delay before the next request to a VM that is handing a team over or taking
+it over; a handover takes about a round trip."""
+
+
 class Limiter:
     """Token buckets of the teams that this VM limits.
 
@@ -69,10 +74,12 @@
     def grant(self, number, team, wanted, domain):
         """Return the grant for a VM of a domain.
 
-        It has no tokens if another VM limits the team.
+        It has no tokens if another VM limits the team, or may still do so.
         """
         now = clock.now()
         limit = self._find_limit(team, now)
+        if limit is None and self._is_in_handover(team):
+            return make_grant(number, retry_s=HANDOVER_RETRY_DELAY_S)
         if limit is None:
             return make_grant(number, is_owner=False)
         bucket = self._get_bucket(team, now)
@@ -141,6 +148,16 @@
         ) and self._handover.may_grant(team, now)
         return limit if may_grant else None
 
+    def _is_in_handover(self, team):
+        """Return whether one limiter of a team is about to follow another.
+
+        VMs that ask soon have a limiter again, so this one is not silent.
+        """
+        state = self._node.view.state
+        if state is None or team not in state.teams:
+            return False
+        return self._is_limiter(team) and self._handover.is_pending(team)
+
     def _is_limiter(self, team):
         return self._directory.is_self(self._directory.find(team).limiter)
 
--- a/src/geraniumridge/_internal/proxy/limiter_handover.py
+++ b/src/geraniumridge/_internal/proxy/limiter_handover.py
@@ -15,7 +15,7 @@
 
 logger = logging.getLogger(__name__)
 
-ANSWER_TIMEOUT_S = 0.05
+ANSWER_TIMEOUT_S = 0.25
 """Timeout of a request within one region."""
 
 MAX_ANSWER_TIMEOUT_S = 0.5
@@ -102,6 +102,10 @@
         takeover = self._takeovers.get(team)
         return takeover is None or takeover.is_done(now)
 
+    def is_pending(self, team):
+        """Return whether a team is being taken over or handed over."""
+        return team in self._successors or team in self._takeovers
+
     def start_due_requests(self, nursery):
         """Ask the predecessors in tasks of a nursery; called periodically."""
         for team, takeover in self._takeovers.items():
--- a/tests/functional/test_proxy_limiter_handover.py
+++ b/tests/functional/test_proxy_limiter_handover.py
@@ -4,6 +4,7 @@
 import trio
 
 from geraniumridge._internal.decisions import limit_holders
+from geraniumridge._internal.utils import clock
 from geraniumridge._internal.utils import rendezvous
 from lib.failovers import add_proxy_per_domain
 from lib import proxies
@@ -30,7 +31,7 @@
 
 def is_granting(proxy, team):
     limiter = proxy.node.limits._limiter
-    return limiter.grant(1, team, 0, "north").is_owner
+    return limiter._find_limit(team, clock.now()) is not None
 
 
 async def wait_settled(proxy, count):
